--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Commands of gentianswitch. `make test` and `make demo` need only Go.
+DEPLOYMENT ?= sierra
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+# Tests that KNOWN-RED.txt lists are passed over: lines `go: NAME` name a Go test, lines `spec: TEXT` a Ginkgo spec.
+KNOWN_GO := $(shell sed -n 's/^go: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
+KNOWN_SPECS := $(shell sed -n 's/^spec: //p' KNOWN-RED.txt 2>/dev/null | tr ' ' '.' | paste -sd'|')
+SKIP_GO := $(if $(KNOWN_GO),-skip '^($(KNOWN_GO))$$')
+SKIP_SPECS := $(if $(KNOWN_SPECS),--ginkgo.skip='$(KNOWN_SPECS)')
+
+.PHONY: build test race lint format
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 $(SKIP_GO) $$(go list ./... | grep -v /integration)
+	go test -count=1 -timeout 20m $(SKIP_GO) ./integration $(SKIP_SPECS)
+
+# The packages in which several duties meet.
+race:
+	go test -race -count=1 $(SKIP_GO) ./internal/...
+
+lint:
+	go vet ./...
+	$(LINT) run ./...
+
+format:
+	gofmt -w cmd internal integration
--- /dev/null
+++ b/cmd/gentian-agent/main.go
@@ -0,0 +1,91 @@
+// Command gentian-agent runs beside each target. It ends callers' connections and gives requests to the target.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"gentianswitch/internal/agent"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/metrics"
+	"gentianswitch/internal/program"
+	"gentianswitch/internal/settings"
+)
+
+const name = "gentian-agent"
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var common settings.Common
+	var own agent.Settings
+	var service uint
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	common.Define(fs)
+	fs.StringVar(&own.Target, "target", "", "`host:port` at which the local target accepts HTTP/1.1")
+	fs.UintVar(&service, "service", 0, "`number` of the service that the target runs, 1 to 65535")
+	fs.IntVar(&own.Slots, "slots", 0, "`number` of requests that the target runs at once")
+	fs.IntVar(&own.Connections, "connections", 2000, "`number` of flows that the agent accepts")
+	settings.AddrPortsVar(fs, &own.Balancers, "balancers", "control addresses of the balancers")
+	err := settings.Parse(fs, args, name+" --settings examples/sierra/agent-requests.yaml", os.Stderr)
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	if common.IsVersion {
+		fmt.Println(name, program.Version)
+		return program.ExitOK
+	}
+	if err := common.Check(); err != nil {
+		return program.ReportUsage(name, err)
+	}
+	own.Service = uint16(service)
+	return start(&common, own)
+}
+
+func start(common *settings.Common, own agent.Settings) int {
+	own.Zone, own.Data, own.Control = common.Zone, common.Data, common.Control
+	log, err := program.Logger(common)
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	set, credentials, err := common.Secrets()
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	if common.IsCheckOnly {
+		fmt.Println("settings are valid")
+		return program.ExitOK
+	}
+	stats := metrics.New("gentian_agent")
+	a, err := agent.New(own, set, credentials, log, stats, time.Now())
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	graceful, force := program.Stopping()
+	program.OnHangup(graceful, func() { reloadKeys(common, a, log) })
+	go func() { _ = stats.Serve(force, common.Metrics) }()
+	log.Emit(events.ProcessStarted, events.F("program", name), events.F("version", program.Version), events.F("zone", own.Zone))
+	err = a.Run(graceful, force)
+	log.Emit(events.ProcessStopped, events.Err(err))
+	if err != nil {
+		return program.ExitFailed
+	}
+	return program.ExitOK
+}
+
+func reloadKeys(common *settings.Common, a *agent.Agent, log *events.Logger) {
+	set, err := keys.Load(common.KeysFile)
+	if err == nil {
+		err = a.SetKeys(set)
+	}
+	if err != nil {
+		log.Emit(events.KeysRefused, events.Err(err))
+		return
+	}
+	log.Emit(events.KeysLoaded, events.F("current", set.Current().ID))
+}
--- /dev/null
+++ b/cmd/gentian-balancer/main.go
@@ -0,0 +1,94 @@
+// Command gentian-balancer runs on each entry VM. It forwards callers' datagrams to the agents beside the targets.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"gentianswitch/internal/balancer"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/metrics"
+	"gentianswitch/internal/program"
+	"gentianswitch/internal/settings"
+	"gentianswitch/internal/store"
+)
+
+const name = "gentian-balancer"
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var common settings.Common
+	var own balancer.Settings
+	var bindIP string
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	common.Define(fs)
+	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
+	fs.StringVar(&bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
+	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
+	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer.yaml", os.Stderr)
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	if common.IsVersion {
+		fmt.Println(name, program.Version)
+		return program.ExitOK
+	}
+	if err := common.Check(); err != nil {
+		return program.ReportUsage(name, err)
+	}
+	if bindIP != "" {
+		if own.BindIP, err = netip.ParseAddr(bindIP); err != nil {
+			return program.ReportUsage(name, err)
+		}
+	}
+	return start(&common, own)
+}
+
+func start(common *settings.Common, own balancer.Settings) int {
+	own.Zone, own.Data, own.Control = common.Zone, common.Data, common.Control
+	log, err := program.Logger(common)
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	set, credentials, err := common.Secrets()
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	if common.IsCheckOnly {
+		fmt.Println("settings are valid")
+		return program.ExitOK
+	}
+	stats := metrics.New("gentian_balancer")
+	b, err := balancer.New(own, set, credentials, store.NewHTTP(own.Store), log, stats)
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	graceful, _ := program.Stopping()
+	program.OnHangup(graceful, func() { reloadKeys(common, b, log) })
+	go func() { _ = stats.Serve(graceful, common.Metrics) }()
+	log.Emit(events.ProcessStarted, events.F("program", name), events.F("version", program.Version), events.F("zone", own.Zone))
+	err = b.Run(graceful)
+	log.Emit(events.ProcessStopped, events.Err(err))
+	if err != nil {
+		return program.ExitFailed
+	}
+	return program.ExitOK
+}
+
+func reloadKeys(common *settings.Common, b *balancer.Balancer, log *events.Logger) {
+	set, err := keys.Load(common.KeysFile)
+	if err == nil {
+		err = b.SetKeys(set)
+	}
+	if err != nil {
+		log.Emit(events.KeysRefused, events.Err(err))
+		return
+	}
+	log.Emit(events.KeysLoaded, events.F("current", set.Current().ID))
+}
--- /dev/null
+++ b/integration/suite_test.go
@@ -0,0 +1,46 @@
+// Package integration proves the promises of gentianswitch with its real programs on loopback.
+package integration
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/emulator"
+)
+
+var bin string
+
+func TestIntegration(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "integration")
+}
+
+var _ = SynchronizedBeforeSuite(func() []byte {
+	dir, err := os.MkdirTemp("", "gentian-bin-")
+	Expect(err).NotTo(HaveOccurred())
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/...")
+	output, err := build.CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(output))
+	return []byte(dir)
+}, func(dir []byte) {
+	bin = string(dir)
+})
+
+var _ = SynchronizedAfterSuite(func() {}, func() {
+	Expect(os.RemoveAll(bin)).To(Succeed())
+})
+
+// start runs a deployment for one spec and stops it at the end.
+func start(deployment emulator.Deployment) *emulator.Emulator {
+	GinkgoHelper()
+	e, err := emulator.New(deployment, bin, GinkgoT().TempDir(), 1)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(e.Stop)
+	Expect(e.Start()).To(Succeed())
+	return e
+}
--- /dev/null
+++ b/internal/agent/conn.go
@@ -0,0 +1,138 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/connid"
+	"gentianswitch/internal/ring"
+)
+
+// incoming is a caller's datagram. The address carries the route's address in its zone field, since quic-go gives it
+// back with each answer.
+type incoming struct {
+	payload []byte
+	from    *net.UDPAddr
+}
+
+// outgoing is a datagram for a caller.
+type outgoing struct {
+	payload []byte
+	caller  netip.AddrPort
+	address netip.AddrPort
+}
+
+// virtualConn is the packet connection on which quic-go serves one class of work. It hides the envelopes.
+type virtualConn struct {
+	local    net.Addr
+	inbound  *ring.Ring[incoming]
+	outbound *ring.Ring[outgoing]
+	closed   chan struct{}
+	close    sync.Once
+	mu       sync.Mutex
+	deadline time.Time
+	wake     chan struct{}
+}
+
+var _ net.PacketConn = (*virtualConn)(nil)
+
+func newVirtualConn(local net.Addr, outbound *ring.Ring[outgoing]) *virtualConn {
+	return &virtualConn{
+		local: local, inbound: ring.New[incoming](ringDatagrams), outbound: outbound,
+		closed: make(chan struct{}), wake: make(chan struct{}),
+	}
+}
+
+// ReadFrom implements net.PacketConn.
+func (c *virtualConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		c.mu.Lock()
+		deadline, wake := c.deadline, c.wake
+		c.mu.Unlock()
+		var expired <-chan time.Time
+		if !deadline.IsZero() {
+			expired = time.After(time.Until(deadline))
+		}
+		select {
+		case in := <-c.inbound.Items():
+			return copy(p, in.payload), in.from, nil
+		case <-wake:
+		case <-expired:
+			return 0, nil, os.ErrDeadlineExceeded
+		case <-c.closed:
+			return 0, nil, net.ErrClosed
+		}
+	}
+}
+
+// WriteTo implements net.PacketConn. A full ring drops the datagram, as a network would.
+func (c *virtualConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	udp, ok := to.(*net.UDPAddr)
+	if !ok {
+		return 0, net.InvalidAddrError("not a UDP address")
+	}
+	address, err := netip.ParseAddrPort(udp.Zone)
+	if err != nil {
+		return 0, net.InvalidAddrError("no route address")
+	}
+	ip, _ := netip.AddrFromSlice(udp.IP.To4())
+	caller := netip.AddrPortFrom(ip, uint16(udp.Port))
+	c.outbound.TryPut(outgoing{payload: append([]byte(nil), p...), caller: caller, address: address})
+	return len(p), nil
+}
+
+// Close implements net.PacketConn.
+func (c *virtualConn) Close() error {
+	c.close.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr implements net.PacketConn.
+func (c *virtualConn) LocalAddr() net.Addr { return c.local }
+
+// SetDeadline implements net.PacketConn.
+func (c *virtualConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetReadDeadline implements net.PacketConn.
+func (c *virtualConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	close(c.wake)
+	c.wake = make(chan struct{})
+	return nil
+}
+
+// SetWriteDeadline implements net.PacketConn. Writes never block.
+func (c *virtualConn) SetWriteDeadline(time.Time) error { return nil }
+
+// idGenerator issues the connection IDs of one class.
+type idGenerator struct {
+	agent *Agent
+	class class.Class
+	nonce atomic.Uint32
+}
+
+var _ quic.ConnectionIDGenerator = (*idGenerator)(nil)
+
+// GenerateConnectionID implements quic.ConnectionIDGenerator.
+func (g *idGenerator) GenerateConnectionID() (quic.ConnectionID, error) {
+	raw := g.agent.codec.Load().Encode(connid.ID{
+		Agent:       g.agent.settings.Data,
+		Service:     g.agent.settings.Service,
+		Incarnation: uint16(g.agent.incarnation),
+		Class:       g.class,
+		Nonce:       g.nonce.Add(1),
+	})
+	return quic.ConnectionIDFromBytes(raw[:]), nil
+}
+
+// ConnectionIDLen implements quic.ConnectionIDGenerator.
+func (g *idGenerator) ConnectionIDLen() int { return connid.Size }
--- /dev/null
+++ b/internal/agent/counters.go
@@ -0,0 +1,30 @@
+package agent
+
+import "github.com/uber-go/tally/v4"
+
+// counters are the metrics of the datagram path, in datagrams.
+type counters struct {
+	badEnvelope  tally.Counter
+	malformed    tally.Counter
+	unknownFlow  tally.Counter
+	otherService tally.Counter
+	refusedFlow  tally.Counter
+	handedOn     tally.Counter
+	ringFull     tally.Counter
+	noBalancer   tally.Counter
+	sendFailed   tally.Counter
+}
+
+func newCounters(scope tally.Scope) counters {
+	return counters{
+		badEnvelope:  scope.Counter("dropped_bad_envelope"),
+		malformed:    scope.Counter("dropped_malformed"),
+		unknownFlow:  scope.Counter("dropped_unknown_flow"),
+		otherService: scope.Counter("dropped_other_service"),
+		refusedFlow:  scope.Counter("dropped_refused_flow"),
+		handedOn:     scope.Counter("handed_on"),
+		ringFull:     scope.Counter("dropped_ring_full"),
+		noBalancer:   scope.Counter("dropped_no_balancer"),
+		sendFailed:   scope.Counter("dropped_send_failed"),
+	}
+}
--- /dev/null
+++ b/internal/agent/lifecycle.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"sync"
+
+	"gentianswitch/internal/member"
+)
+
+// lifecycle is the state that the agent announces.
+type lifecycle struct {
+	mu       sync.Mutex
+	state    member.State
+	sequence uint64
+	changed  chan struct{}
+}
+
+func newLifecycle() *lifecycle {
+	return &lifecycle{state: member.Starting, sequence: 1, changed: make(chan struct{})}
+}
+
+func (l *lifecycle) get() (member.State, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state, l.sequence
+}
+
+func (l *lifecycle) set(state member.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = state
+	l.sequence++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// onChange returns a channel that is closed at the next change.
+func (l *lifecycle) onChange() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *lifecycle) isDraining() bool {
+	state, _ := l.get()
+	return state == member.Draining
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,129 @@
+// Package balancer implements the duties of gentian-balancer: it receives callers' datagrams, decides with package
+// route, sends them to agents in envelopes, and sends the agents' answers back to the callers.
+package balancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/connid"
+	"gentianswitch/internal/control"
+	"gentianswitch/internal/duty"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/ring"
+	"gentianswitch/internal/route"
+	"gentianswitch/internal/store"
+)
+
+// Settings are the checked settings of a balancer.
+type Settings struct {
+	Zone string
+	// Data is the address of the datagram socket towards agents.
+	Data netip.AddrPort
+	// Control is the address of the control listener.
+	Control netip.AddrPort
+	// BindIP is the local IP to bind in place of a route's address, for fabrics that rewrite the destination.
+	// Addresses then need distinct ports. The zero Addr binds the route's address itself.
+	BindIP netip.Addr
+	// Networks are the networks in which agents live. An empty list allows every address.
+	Networks []netip.Prefix
+	// Store is the address of the platform's store.
+	Store string
+}
+
+const (
+	ringBatches       = 64
+	heartbeatInterval = 250 * time.Millisecond
+)
+
+// Balancer is a running balancer.
+type Balancer struct {
+	settings    Settings
+	log         *events.Logger
+	scope       tally.Scope
+	credentials *control.Credentials
+	store       store.Store
+	keys        atomic.Pointer[keys.Set]
+	codec       atomic.Pointer[connid.Codec]
+	table       atomic.Pointer[route.Table]
+	state       *state
+	fabric      *listener
+	listeners   *listeners
+	free        *ring.Ring[*batch]
+	toAgents    *ring.Ring[*batch]
+	toCallers   *ring.Ring[*batch]
+	inbound     *ring.Ring[*batch]
+	outbound    *ring.Ring[*batch]
+	counters    counters
+	group       *duty.Group
+}
+
+// New returns a balancer that is not yet running.
+func New(
+	settings Settings, set *keys.Set, credentials *control.Credentials, kv store.Store,
+	log *events.Logger, scope tally.Scope,
+) (*Balancer, error) {
+	b := &Balancer{
+		settings:    settings,
+		log:         log,
+		scope:       scope,
+		credentials: credentials,
+		store:       kv,
+		state:       newState(),
+		free:        ring.New[*batch](4 * ringBatches),
+		inbound:     ring.New[*batch](ringBatches),
+		toAgents:    ring.New[*batch](ringBatches),
+		outbound:    ring.New[*batch](ringBatches),
+		toCallers:   ring.New[*batch](ringBatches),
+		counters:    newCounters(scope),
+	}
+	b.listeners = newListeners(settings.BindIP)
+	return b, b.SetKeys(set)
+}
+
+// SetKeys replaces the keys of connection IDs and envelopes.
+func (b *Balancer) SetKeys(set *keys.Set) error {
+	codec, err := connid.NewCodec(set)
+	if err != nil {
+		return err
+	}
+	b.keys.Store(set)
+	b.codec.Store(codec)
+	b.rebuild()
+	return nil
+}
+
+// rebuild compiles the routing table from the present keys, tables and targets.
+func (b *Balancer) rebuild() {
+	declared, targets := b.state.view()
+	b.table.Store(route.NewTable(b.codec.Load(), b.settings.Networks, declared, targets))
+}
+
+// Run serves until ctx ends and every datagram that was read has been sent.
+func (b *Balancer) Run(ctx context.Context) error {
+	fabric, err := openListener(b.settings.Data)
+	if err != nil {
+		return eris.Wrap(err, "open data socket")
+	}
+	b.fabric = fabric
+	controlListener, err := net.Listen("tcp4", b.settings.Control.String())
+	if err != nil {
+		return eris.Wrap(err, "open control listener")
+	}
+	b.group = duty.NewGroup(ctx)
+	b.startPath()
+	b.group.Go("control", func(ctx context.Context) error {
+		return control.Serve(ctx, controlListener, b.credentials, b.serveControl)
+	})
+	b.group.Go("watch store", b.watchStore)
+	b.group.Go("expire targets", b.expireTargets)
+	b.group.Go("heartbeat", b.sendHeartbeats)
+	return b.group.Wait()
+}
--- /dev/null
+++ b/internal/balancer/batch.go
@@ -0,0 +1,89 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+
+	"golang.org/x/net/ipv4"
+)
+
+// Sizes of a batch.
+const (
+	batchDatagrams = 32
+	// maxDatagram is the largest datagram of a caller in bytes. With the envelope it fits an Ethernet frame.
+	maxDatagram = 1400
+	bufferBytes = 1600
+)
+
+// batch is a set of datagrams that passes through the duties as one item. Its buffers are reused.
+type batch struct {
+	messages []ipv4.Message
+	buffers  [][]byte
+	peers    []net.UDPAddr
+	// count is the number of datagrams in use.
+	count int
+	// source is the listener that received the batch, or that must send it.
+	source *listener
+}
+
+func newBatch() *batch {
+	b := &batch{
+		messages: make([]ipv4.Message, batchDatagrams),
+		buffers:  make([][]byte, batchDatagrams),
+		peers:    make([]net.UDPAddr, batchDatagrams),
+	}
+	for i := range b.messages {
+		b.buffers[i] = make([]byte, bufferBytes)
+		b.peers[i].IP = make(net.IP, net.IPv4len)
+		b.messages[i].Buffers = [][]byte{b.buffers[i]}
+		b.messages[i].Addr = &b.peers[i]
+	}
+	return b
+}
+
+// prepareRead gives every message its whole buffer.
+func (b *batch) prepareRead() {
+	for i := range b.messages {
+		b.messages[i].Buffers[0] = b.buffers[i]
+	}
+}
+
+// datagram returns the content of message i after a read.
+func (b *batch) datagram(i int) []byte {
+	return b.buffers[i][:b.messages[i].N]
+}
+
+// sender returns the address from which message i came.
+func (b *batch) sender(i int) netip.AddrPort {
+	udp, ok := b.messages[i].Addr.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	a := udp.AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// next returns the empty buffer of the next datagram to add.
+func (b *batch) next() []byte {
+	return b.buffers[b.count][:0]
+}
+
+// add appends the datagram, which stands in the buffer of next, for the given receiver.
+func (b *batch) add(datagram []byte, receiver netip.AddrPort) {
+	ip := receiver.Addr().As4()
+	peer := &b.peers[b.count]
+	copy(peer.IP, ip[:])
+	peer.Port = int(receiver.Port())
+	b.messages[b.count].Buffers[0] = datagram
+	b.messages[b.count].Addr = peer
+	b.count++
+}
+
+func (b *batch) isFull() bool {
+	return b.count == len(b.messages)
+}
+
+func (b *batch) reset() {
+	b.count = 0
+	b.source = nil
+}
--- /dev/null
+++ b/internal/balancer/counters.go
@@ -0,0 +1,35 @@
+package balancer
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/route"
+)
+
+// counters are the metrics of the data path, in datagrams.
+type counters struct {
+	verdicts    []tally.Counter
+	ringFull    tally.Counter
+	sendFailed  tally.Counter
+	oversized   tally.Counter
+	badEnvelope tally.Counter
+	noListener  tally.Counter
+}
+
+func newCounters(scope tally.Scope) counters {
+	c := counters{
+		ringFull:    scope.Counter("dropped_ring_full"),
+		sendFailed:  scope.Counter("dropped_send_failed"),
+		oversized:   scope.Counter("dropped_oversized"),
+		badEnvelope: scope.Counter("dropped_bad_envelope"),
+		noListener:  scope.Counter("dropped_no_listener"),
+	}
+	for v := route.Verdict(0); v <= route.DropNoTarget; v++ {
+		c.verdicts = append(c.verdicts, scope.Tagged(map[string]string{"verdict": v.String()}).Counter("datagrams"))
+	}
+	return c
+}
+
+func (c *counters) verdict(v route.Verdict) {
+	c.verdicts[v].Inc(1)
+}
--- /dev/null
+++ b/internal/control/conn.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/frame"
+)
+
+const (
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+	readTimeout  = 10 * time.Second
+)
+
+// Conn is a control connection. Send may be called from several goroutines, Receive from one.
+type Conn struct {
+	raw net.Conn
+	mu  sync.Mutex
+}
+
+// Dial opens a control connection to address.
+func Dial(ctx context.Context, address string, credentials *Credentials) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := tls.Dialer{Config: credentials.Client()}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "dial control of %s", address)
+	}
+	return &Conn{raw: raw}, nil
+}
+
+// Send writes one message.
+func (c *Conn) Send(m Message) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return eris.Wrapf(err, "send to %s", c.Peer())
+	}
+	return eris.Wrapf(frame.Write(c.raw, m), "send to %s", c.Peer())
+}
+
+// Receive reads the next message. It fails when none arrives within 10 s.
+func (c *Conn) Receive() (Message, error) {
+	var m Message
+	if err := c.raw.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+		return m, eris.Wrapf(err, "receive from %s", c.Peer())
+	}
+	err := frame.Read(c.raw, &m)
+	return m, eris.Wrapf(err, "receive from %s", c.Peer())
+}
+
+// Call sends a message and returns the next one that arrives.
+func (c *Conn) Call(m Message) (Message, error) {
+	if err := c.Send(m); err != nil {
+		return Message{}, err
+	}
+	return c.Receive()
+}
+
+// Peer returns the address of the other side.
+func (c *Conn) Peer() string {
+	return c.raw.RemoteAddr().String()
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	_ = c.raw.Close()
+}
+
+// Handler serves one accepted connection until it returns.
+type Handler func(ctx context.Context, conn *Conn)
+
+// Serve accepts connections on listener and runs handler for each until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, credentials *Credentials, handler Handler) error {
+	secure := tls.NewListener(listener, credentials.Server())
+	stop := context.AfterFunc(ctx, func() { _ = secure.Close() })
+	defer stop()
+	var handlers sync.WaitGroup
+	defer handlers.Wait()
+	for {
+		raw, err := secure.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrapf(err, "accept control on %s", listener.Addr())
+		}
+		handlers.Go(func() { handle(ctx, raw, handler) })
+	}
+}
+
+func handle(ctx context.Context, raw net.Conn, handler Handler) {
+	conn := &Conn{raw: raw}
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	defer conn.Close()
+	handler(ctx, conn)
+}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,56 @@
+// Package duty runs the long-lived duties of a process, one goroutine each, on a pond worker pool.
+package duty
+
+import (
+	"context"
+
+	"github.com/alitto/pond/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Func is the body of a duty. It returns when ctx ends, or earlier with the error that ends the process.
+type Func func(ctx context.Context) error
+
+// Group runs duties until one fails or its context ends.
+type Group struct {
+	pool   pond.Pool
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+}
+
+// NewGroup returns a group whose duties end with ctx.
+func NewGroup(ctx context.Context) *Group {
+	ctx, cancel := context.WithCancelCause(ctx)
+	return &Group{pool: pond.NewPool(0), ctx: ctx, cancel: cancel}
+}
+
+// Go starts the duty with the given name. An error of the duty ends the whole group.
+func (g *Group) Go(name string, body Func) {
+	g.pool.Submit(func() {
+		err := body(g.ctx)
+		if err != nil && g.ctx.Err() == nil {
+			g.cancel(eris.Wrapf(err, "duty %s", name))
+		}
+	})
+}
+
+// Context returns the context of the duties.
+func (g *Group) Context() context.Context {
+	return g.ctx
+}
+
+// Stop ends every duty.
+func (g *Group) Stop() {
+	g.cancel(nil)
+}
+
+// Wait waits for every duty to return. It returns the first error of a duty.
+func (g *Group) Wait() error {
+	<-g.ctx.Done()
+	g.pool.StopAndWait()
+	cause := context.Cause(g.ctx)
+	if eris.Is(cause, context.Canceled) {
+		return nil
+	}
+	return cause
+}
--- /dev/null
+++ b/internal/emulator/deployment.go
@@ -0,0 +1,108 @@
+// Package emulator runs a whole deployment on loopback for tests and the demo: the stand-ins of the platform and the
+// real programs, each as a process of its own.
+package emulator
+
+import (
+	"fmt"
+	"strings"
+
+	"gentianswitch/internal/class"
+)
+
+// Pool describes the targets of one service.
+type Pool struct {
+	Name    string
+	Service uint16
+	Hosts   int
+	Slots   int
+}
+
+// Route describes one address; the port distinguishes it.
+type Route struct {
+	Name  string
+	Port  uint16
+	Pool  string
+	Class class.Class
+}
+
+// Deployment describes one operator's system.
+type Deployment struct {
+	Name      string
+	Zones     []string
+	Balancers int
+	Pools     []Pool
+	Routes    []Route
+}
+
+// Ports of the routes of both deployments.
+const (
+	PortFeed  = 4431
+	PortShort = 4432
+	PortLong  = 4433
+)
+
+// Sierra returns the deployment of the Agencia.
+func Sierra() Deployment {
+	return Deployment{
+		Name:      "sierra",
+		Zones:     []string{"quito", "ambato", "cuenca"},
+		Balancers: 3,
+		Pools: []Pool{
+			{Name: "requests", Service: 1, Hosts: 7, Slots: 5},
+			{Name: "voice", Service: 2, Hosts: 3, Slots: 5},
+		},
+		Routes: []Route{
+			{Name: "station-feeds", Port: PortFeed, Pool: "requests", Class: class.Feed},
+			{Name: "requests", Port: PortShort, Pool: "requests", Class: class.Short},
+			{Name: "voice-messages", Port: PortLong, Pool: "voice", Class: class.Long},
+		},
+	}
+}
+
+// Taiwan returns the deployment of Jadeladle.
+func Taiwan() Deployment {
+	return Deployment{
+		Name:      "taiwan",
+		Zones:     []string{"taipei", "taoyuan", "keelung"},
+		Balancers: 3,
+		Pools: []Pool{
+			{Name: "trolley", Service: 1, Hosts: 7, Slots: 3},
+			{Name: "photo", Service: 2, Hosts: 3, Slots: 3},
+		},
+		Routes: []Route{
+			{Name: "kitchen-screens", Port: PortFeed, Pool: "trolley", Class: class.Feed},
+			{Name: "restock", Port: PortShort, Pool: "trolley", Class: class.Short},
+			{Name: "shift-photos", Port: PortLong, Pool: "photo", Class: class.Long},
+		},
+	}
+}
+
+// Tables returns the tables of the deployment as YAML, with the routes on the given IP.
+func (d Deployment) Tables(ip string) string {
+	var text strings.Builder
+	text.WriteString("routes:\n")
+	for _, r := range d.Routes {
+		fmt.Fprintf(&text, "  - name: %s\n    address: %s:%d\n    pool: %s\n    class: %s\n",
+			r.Name, ip, r.Port, r.Pool, r.Class)
+	}
+	text.WriteString("pools:\n")
+	for _, p := range d.Pools {
+		fmt.Fprintf(&text, "  - name: %s\n    service: %d\n", p.Name, p.Service)
+	}
+	return text.String()
+}
+
+// PoolOf returns the pool that serves the route on the given port.
+func (d Deployment) PoolOf(port uint16) Pool {
+	for _, r := range d.Routes {
+		if r.Port != port {
+			continue
+		}
+		for _, p := range d.Pools {
+			if p.Name == r.Pool {
+				return p
+			}
+		}
+	}
+	return Pool{}
+}
--- /dev/null
+++ b/internal/emulator/emulator.go
@@ -0,0 +1,302 @@
+package emulator
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/standin/certificates"
+)
+
+// Ports of the processes; each VM has an IP of its own.
+const (
+	portStore   = 4390
+	portFaults  = 4391
+	portLock    = 4399
+	portData    = 4400
+	portControl = 4401
+	portMetrics = 4402
+	portTarget  = 8080
+)
+
+// Host numbers within the block of loopback addresses of an emulator.
+const (
+	hostPlatform      = 1
+	hostFirstBalancer = 10
+	hostFirstTarget   = 50
+	hostLock          = 254
+)
+
+const (
+	readyTimeout  = 20 * time.Second
+	readyInterval = 20 * time.Millisecond
+)
+
+// Emulator is a running deployment.
+type Emulator struct {
+	Deployment Deployment
+	// Dir holds the certificates, the tables and the logs.
+	Dir       string
+	Store     *Process
+	Fabric    *Process
+	Balancers []*Process
+	Agents    []*Process
+	Targets   []*Process
+	bin       string
+	block     string
+	lock      net.Listener
+	seed      uint64
+}
+
+// New prepares a deployment whose programs are in the directory bin and whose files go to dir. Nothing runs yet.
+func New(deployment Deployment, bin, dir string, seed uint64) (*Emulator, error) {
+	e := &Emulator{Deployment: deployment, Dir: dir, bin: bin, seed: seed}
+	if err := e.reserveBlock(); err != nil {
+		return nil, err
+	}
+	if err := certificates.Write(dir); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(e.TablesFile(), []byte(deployment.Tables(e.ip(hostPlatform))), fileMode); err != nil {
+		return nil, eris.Wrap(err, "write tables")
+	}
+	e.Store = e.process("store", e.ip(hostPlatform), "gentian-standin", "store", "--listen", e.StoreAddress())
+	e.Fabric = e.process("fabric", e.ip(hostPlatform), "gentian-standin", e.fabricArgs()...)
+	for i := range deployment.Balancers {
+		e.Balancers = append(e.Balancers, e.balancer(i))
+	}
+	host := 0
+	for _, p := range deployment.Pools {
+		for range p.Hosts {
+			e.addHost(host, p)
+			host++
+		}
+	}
+	return e, nil
+}
+
+// reserveBlock takes a block 127.x.y.0/24 that no other emulator on this machine uses.
+func (e *Emulator) reserveBlock() error {
+	const blocks = 250
+	first := os.Getpid() % blocks
+	for i := range blocks * blocks {
+		n := first*blocks + i
+		block := fmt.Sprintf("127.%d.%d", 1+n/blocks%blocks, n%blocks)
+		lock, err := net.Listen("tcp4", fmt.Sprintf("%s.%d:%d", block, hostLock, portLock))
+		if err == nil {
+			e.block, e.lock = block, lock
+			return nil
+		}
+	}
+	return eris.New("no block of loopback addresses is free")
+}
+
+func (e *Emulator) ip(host int) string {
+	return fmt.Sprintf("%s.%d", e.block, host)
+}
+
+func (e *Emulator) zone(i int) string {
+	return e.Deployment.Zones[i%len(e.Deployment.Zones)]
+}
+
+func (e *Emulator) process(name, ip, program string, args ...string) *Process {
+	return &Process{Name: name, IP: ip, program: filepath.Join(e.bin, program), args: args, dir: e.Dir}
+}
+
+func (e *Emulator) fabricArgs() []string {
+	var addresses, balancers []string
+	for _, r := range e.Deployment.Routes {
+		addresses = append(addresses, e.Address(r.Port))
+	}
+	for i := range e.Deployment.Balancers {
+		balancers = append(balancers, e.ip(hostFirstBalancer+i)+"/32")
+	}
+	return []string{
+		"fabric", "--addresses", strings.Join(addresses, ","), "--balancers", strings.Join(balancers, ","),
+		"--faults", fmt.Sprintf("%s:%d", e.ip(hostPlatform), portFaults), "--seed", fmt.Sprint(e.seed),
+	}
+}
+
+func (e *Emulator) commonArgs(ip, zone string) []string {
+	return []string{
+		"--zone", zone,
+		"--data", fmt.Sprintf("%s:%d", ip, portData),
+		"--control", fmt.Sprintf("%s:%d", ip, portControl),
+		"--metrics", fmt.Sprintf("%s:%d", ip, portMetrics),
+		"--keys", e.File(certificates.KeysFile),
+		"--certificate", e.File(certificates.CertificateFile),
+		"--certificate-key", e.File(certificates.KeyFile),
+		"--authority", e.File(certificates.AuthorityFile),
+	}
+}
+
+func (e *Emulator) balancer(i int) *Process {
+	ip := e.ip(hostFirstBalancer + i)
+	args := append(e.commonArgs(ip, e.zone(i)), "--store", e.StoreAddress(), "--bind-ip", ip,
+		"--agent-networks", e.block+".0/24")
+	return e.process(fmt.Sprintf("balancer-%d", i), ip, "gentian-balancer", args...)
+}
+
+func (e *Emulator) addHost(i int, pool Pool) {
+	ip := e.ip(hostFirstTarget + i)
+	target := fmt.Sprintf("%s:%d", ip, portTarget)
+	e.Targets = append(e.Targets, e.process(fmt.Sprintf("target-%d", i), ip, "gentian-standin",
+		"target", "--listen", target, "--service", pool.Name, "--slots", fmt.Sprint(pool.Slots)))
+	args := append(e.commonArgs(ip, e.zone(i)), "--target", target, "--service", fmt.Sprint(pool.Service),
+		"--slots", fmt.Sprint(pool.Slots), "--balancers", strings.Join(e.ControlAddresses(), ","))
+	e.Agents = append(e.Agents, e.process(fmt.Sprintf("agent-%d", i), ip, "gentian-agent", args...))
+}
+
+// ControlAddresses returns the control addresses of the balancers.
+func (e *Emulator) ControlAddresses() []string {
+	var list []string
+	for i := range e.Deployment.Balancers {
+		list = append(list, fmt.Sprintf("%s:%d", e.ip(hostFirstBalancer+i), portControl))
+	}
+	return list
+}
+
+// StoreAddress returns the address of the store.
+func (e *Emulator) StoreAddress() string {
+	return fmt.Sprintf("%s:%d", e.ip(hostPlatform), portStore)
+}
+
+// Address returns the address that callers use for the route on the given port.
+func (e *Emulator) Address(port uint16) string {
+	return fmt.Sprintf("%s:%d", e.ip(hostPlatform), port)
+}
+
+// File returns the path of a file of the emulator.
+func (e *Emulator) File(name string) string {
+	return filepath.Join(e.Dir, name)
+}
+
+// TablesFile returns the path of the tables.
+func (e *Emulator) TablesFile() string {
+	return e.File("tables.yaml")
+}
+
+// All returns every process.
+func (e *Emulator) All() []*Process {
+	all := []*Process{e.Store, e.Fabric}
+	all = append(all, e.Balancers...)
+	all = append(all, e.Targets...)
+	return append(all, e.Agents...)
+}
+
+// Start starts every process, applies the tables and waits until callers can be served.
+func (e *Emulator) Start() error {
+	for _, p := range e.All() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	if err := await("the store", func() bool { return isListening(e.StoreAddress()) }); err != nil {
+		return err
+	}
+	if err := e.Control("apply", "--store", e.StoreAddress(), "--file", e.TablesFile()); err != nil {
+		return err
+	}
+	for _, b := range e.Balancers {
+		if err := e.AwaitBalancer(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitBalancer waits until a balancer has opened its listeners and knows every target.
+func (e *Emulator) AwaitBalancer(b *Process) error {
+	return await(b.Name, func() bool {
+		log, err := os.ReadFile(b.LogFile())
+		if err != nil {
+			return false
+		}
+		text := string(log)
+		return strings.Count(text, `"msg":"listener opened"`) >= len(e.Deployment.Routes)*b.runs &&
+			strings.Count(text, `"state":"ready"`) >= len(e.Agents)*b.runs
+	})
+}
+
+// Control runs gentianctl with the given arguments and returns its output in the error when it fails.
+func (e *Emulator) Control(args ...string) error {
+	p := e.process("gentianctl", "", "gentianctl", args...)
+	if err := p.Start(); err != nil {
+		return err
+	}
+	if err := p.Wait(readyTimeout); err != nil {
+		return err
+	}
+	if p.ExitCode() != 0 {
+		output, _ := os.ReadFile(p.LogFile())
+		return eris.Errorf("gentianctl %s: exit code %d: %s", args[0], p.ExitCode(), output)
+	}
+	return nil
+}
+
+// SetFaults replaces the faults of a stand-in.
+func SetFaults(url, faults string) error {
+	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(faults))
+	if err != nil {
+		return eris.Wrap(err, "set faults")
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "set faults")
+	}
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return eris.Errorf("set faults: status %d", answer.StatusCode)
+	}
+	return nil
+}
+
+// FabricFaultsURL returns the URL of the fabric's faults.
+func (e *Emulator) FabricFaultsURL() string {
+	return fmt.Sprintf("http://%s:%d/faults", e.ip(hostPlatform), portFaults)
+}
+
+// StoreFaultsURL returns the URL of the store's faults.
+func (e *Emulator) StoreFaultsURL() string {
+	return "http://" + e.StoreAddress() + "/faults"
+}
+
+// TargetURL returns the base URL of the target on VM i.
+func (e *Emulator) TargetURL(i int) string {
+	return fmt.Sprintf("http://%s:%d", e.Targets[i].IP, portTarget)
+}
+
+// Stop ends every process that still runs.
+func (e *Emulator) Stop() {
+	for _, p := range e.All() {
+		if p.IsRunning() {
+			_ = p.Kill()
+		}
+	}
+	_ = e.lock.Close()
+}
+
+func isListening(address string) bool {
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// await polls a condition until it holds.
+func await(what string, isReady func() bool) error {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyInterval) {
+		if isReady() {
+			return nil
+		}
+	}
+	return eris.Errorf("%s is not ready after %s", what, readyTimeout)
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,55 @@
+// Package metrics implements the tally scope of a process and its Prometheus endpoint.
+package metrics
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	reportInterval    = time.Second
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Metrics holds the scope of a process.
+type Metrics struct {
+	tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+// New returns the metrics of a process whose names start with prefix.
+func New(prefix string) *Metrics {
+	reporter := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         prefix,
+		CachedReporter: reporter,
+		Separator:      promreporter.DefaultSeparator,
+	}, reportInterval)
+	return &Metrics{Scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+}
+
+// Serve answers GET /metrics on address until ctx ends. An empty address serves nothing.
+func (m *Metrics) Serve(ctx context.Context, address string) error {
+	defer func() { _ = m.closer.Close() }()
+	if address == "" {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", m.handler)
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.ListenAndServe()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrapf(err, "serve metrics on %s", address)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,179 @@
+// Package settings implements the settings of the programs: each is a flag, an environment variable and a field of a
+// YAML file. A flag wins over the environment, which wins over the file.
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffyaml"
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/control"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/keys"
+)
+
+// Common are the settings that balancers and agents share.
+type Common struct {
+	Zone        string
+	Data        netip.AddrPort
+	Control     netip.AddrPort
+	Metrics     string
+	LogFormat   string
+	LogLevel    string
+	KeysFile    string
+	Files       control.Files
+	IsCheckOnly bool
+	IsVersion   bool
+}
+
+// Define adds the common settings to a flag set.
+func (c *Common) Define(fs *flag.FlagSet) {
+	fs.StringVar(&c.Zone, "zone", "", "availability zone of the VM")
+	AddrPortVar(fs, &c.Data, "data", "IPv4 `ip:port` of the datagram socket between balancers and agents")
+	AddrPortVar(fs, &c.Control, "control", "IPv4 `ip:port` of the control listener (TCP, mutual TLS)")
+	fs.StringVar(&c.Metrics, "metrics", "", "`ip:port` of the Prometheus endpoint; empty for none")
+	fs.StringVar(&c.LogFormat, "log-format", events.FormatJSON, "json or text")
+	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warning or error")
+	fs.StringVar(&c.KeysFile, "keys", "", "YAML `file` with the keys of connection IDs and envelopes; read again on SIGHUP")
+	fs.StringVar(&c.Files.Certificate, "certificate", "", "PEM `file` with the certificate of this process")
+	fs.StringVar(&c.Files.Key, "certificate-key", "", "PEM `file` with the private key of the certificate")
+	fs.StringVar(&c.Files.Authority, "authority", "", "PEM `file` with the authority of all certificates")
+	fs.BoolVar(&c.IsCheckOnly, "check", false, "validate the settings and exit")
+	fs.BoolVar(&c.IsVersion, "version", false, "print the version and exit")
+	fs.String("settings", "", "YAML `file` with settings; its fields have the names of the flags")
+}
+
+// Check reports the first common setting that is missing.
+func (c *Common) Check() error {
+	required := []struct {
+		name      string
+		isPresent bool
+	}{
+		{"zone", c.Zone != ""},
+		{"data", c.Data.IsValid()},
+		{"control", c.Control.IsValid()},
+		{"keys", c.KeysFile != ""},
+		{"certificate", c.Files.Certificate != ""},
+		{"certificate-key", c.Files.Key != ""},
+		{"authority", c.Files.Authority != ""},
+	}
+	for _, r := range required {
+		if !r.isPresent {
+			return eris.Errorf("setting %s: missing, expected a value", r.name)
+		}
+	}
+	return nil
+}
+
+// Secrets loads the keys and the certificates that the settings name.
+func (c *Common) Secrets() (*keys.Set, *control.Credentials, error) {
+	set, err := keys.Load(c.KeysFile)
+	if err != nil {
+		return nil, nil, err
+	}
+	credentials, err := control.LoadCredentials(c.Files)
+	return set, credentials, err
+}
+
+// Parse reads the settings of a program from its arguments, the environment (prefix GENTIAN_) and the file that the
+// flag settings names. It returns flag.ErrHelp when the arguments ask for help.
+func Parse(fs *flag.FlagSet, args []string, example string, out io.Writer) error {
+	fs.SetOutput(out)
+	fs.Usage = func() { usage(fs, example) }
+	err := ff.Parse(fs, args,
+		ff.WithEnvVarPrefix("GENTIAN"),
+		ff.WithConfigFileFlag("settings"),
+		ff.WithConfigFileParser(ffyaml.Parser),
+	)
+	if eris.Is(err, flag.ErrHelp) {
+		return flag.ErrHelp
+	}
+	return eris.Wrap(err, "settings")
+}
+
+func usage(fs *flag.FlagSet, example string) {
+	_, _ = fmt.Fprintf(fs.Output(), "Usage: %s [flags]\n\nExample:\n  %s\n\nFlags:\n", fs.Name(), example)
+	fs.PrintDefaults()
+}
+
+type addrPortValue struct{ target *netip.AddrPort }
+
+func (v addrPortValue) String() string {
+	if v.target == nil || !v.target.IsValid() {
+		return ""
+	}
+	return v.target.String()
+}
+
+func (v addrPortValue) Set(text string) error {
+	parsed, err := parseIPv4(text)
+	if err != nil {
+		return err
+	}
+	*v.target = parsed
+	return nil
+}
+
+func parseIPv4(text string) (netip.AddrPort, error) {
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil || !parsed.Addr().Is4() || parsed.Port() == 0 {
+		return netip.AddrPort{}, eris.Errorf("%q, expected an IPv4 address and port such as 10.0.0.1:4400", text)
+	}
+	return parsed, nil
+}
+
+// AddrPortVar defines a setting that holds one IPv4 address and port.
+func AddrPortVar(fs *flag.FlagSet, target *netip.AddrPort, name, usage string) {
+	fs.Var(addrPortValue{target}, name, usage)
+}
+
+type listValue[T any] struct {
+	target *[]T
+	parse  func(string) (T, error)
+}
+
+func (v listValue[T]) String() string {
+	if v.target == nil {
+		return ""
+	}
+	parts := make([]string, 0, len(*v.target))
+	for _, item := range *v.target {
+		parts = append(parts, fmt.Sprint(item))
+	}
+	return strings.Join(parts, ",")
+}
+
+func (v listValue[T]) Set(text string) error {
+	for _, part := range strings.Split(text, ",") {
+		item, err := v.parse(strings.TrimSpace(part))
+		if err != nil {
+			return err
+		}
+		*v.target = append(*v.target, item)
+	}
+	return nil
+}
+
+// AddrPortsVar defines a setting that holds several addresses, separated by commas or as a YAML list.
+func AddrPortsVar(fs *flag.FlagSet, target *[]netip.AddrPort, name, usage string) {
+	fs.Var(listValue[netip.AddrPort]{target, parseIPv4}, name, usage)
+}
+
+// PrefixesVar defines a setting that holds several networks, separated by commas or as a YAML list.
+func PrefixesVar(fs *flag.FlagSet, target *[]netip.Prefix, name, usage string) {
+	fs.Var(listValue[netip.Prefix]{target, parsePrefix}, name, usage)
+}
+
+func parsePrefix(text string) (netip.Prefix, error) {
+	parsed, err := netip.ParsePrefix(text)
+	if err != nil {
+		return netip.Prefix{}, eris.Errorf("%q, expected a network such as 10.0.0.0/8", text)
+	}
+	return parsed, nil
+}
--- /dev/null
+++ b/internal/standin/callers/caller.go
@@ -0,0 +1,249 @@
+// Package callers implements stand-ins for callers: HTTP/3 clients that open feeds, send short requests and uploads,
+// and check each answer.
+package callers
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/agent"
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/control"
+	"gentianswitch/internal/standin/target"
+)
+
+// Outcome is how a request ended for its caller.
+type Outcome string
+
+// The outcomes.
+const (
+	// Done is a whole answer to the right request from the right service.
+	Done Outcome = "done"
+	// NotRun is a refusal that says the request was not run.
+	NotRun Outcome = "not-run"
+	// Unknown is an answer that says it is not known whether the request was run.
+	Unknown Outcome = "unknown"
+	// Wrong is an answer of another service or to another request.
+	Wrong Outcome = "wrong"
+	// Cut is an answer or feed that ended before its end.
+	Cut Outcome = "cut"
+	// Unreachable means that no connection could be opened.
+	Unreachable Outcome = "unreachable"
+)
+
+// Result is what a caller saw of one request.
+type Result struct {
+	Request    string
+	Class      class.Class
+	Outcome    Outcome
+	Status     int
+	Duration   time.Duration
+	RetryAfter time.Duration
+	// Events is the number of events received on a feed.
+	Events int
+	Err    error
+}
+
+const (
+	handshakeTimeout = 10 * time.Second
+	idleTimeout      = 30 * time.Second
+	keepAlive        = 5 * time.Second
+)
+
+// Caller is one caller with a socket of its own. It opens a connection when the first request needs one.
+type Caller struct {
+	transport *http3.Transport
+	quic      *quic.Transport
+	socket    *net.UDPConn
+	expect    string
+}
+
+// New returns a caller that trusts the authority in the PEM file and expects answers of the named service.
+func New(authorityFile, service string) (*Caller, error) {
+	pem, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "load authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate", authorityFile)
+	}
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, eris.Wrap(err, "open caller socket")
+	}
+	c := &Caller{quic: &quic.Transport{Conn: socket}, socket: socket, expect: service}
+	c.transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, ServerName: control.ServerName},
+		QUICConfig: &quic.Config{
+			HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive,
+		},
+		Dial: c.dial,
+	}
+	return c, nil
+}
+
+func (c *Caller) dial(ctx context.Context, address string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "resolve %s", address)
+	}
+	return c.quic.DialEarly(ctx, to, tlsConfig, config)
+}
+
+// Close ends the caller's connections.
+func (c *Caller) Close() {
+	_ = c.transport.Close()
+	_ = c.quic.Close()
+	_ = c.socket.Close()
+}
+
+// Request describes one request.
+type Request struct {
+	// ID is sent in target.HeaderRequest and checked in the answer.
+	ID      string
+	Class   class.Class
+	Address string
+	// Work is the time that the target works on the request.
+	Work time.Duration
+	// Body is the body of a short request or an upload.
+	Body []byte
+	// Events and Interval describe a feed.
+	Events   int
+	Interval time.Duration
+	// IdempotencyKey is sent when it is not empty.
+	IdempotencyKey string
+}
+
+// Do sends a request and checks the answer.
+func (c *Caller) Do(ctx context.Context, r Request) Result {
+	started := time.Now()
+	result := c.do(ctx, r)
+	result.Request = r.ID
+	result.Class = r.Class
+	result.Duration = time.Since(started)
+	return result
+}
+
+func (c *Caller) do(ctx context.Context, r Request) Result {
+	request, err := r.build(ctx)
+	if err != nil {
+		return Result{Outcome: Unreachable, Err: err}
+	}
+	answer, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return Result{Outcome: Unreachable, Err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return refusal(answer)
+	}
+	if r.Class == class.Feed {
+		return c.readFeed(answer.Body, r.Events)
+	}
+	return c.readAnswer(answer.Body, r)
+}
+
+func (r Request) build(ctx context.Context) (*http.Request, error) {
+	var method, path string
+	switch r.Class {
+	case class.Feed:
+		method = http.MethodGet
+		path = fmt.Sprintf("%s?%s=%d&%s=%d", target.PathFeed, target.QueryEvents, r.Events,
+			target.QueryInterval, r.Interval.Milliseconds())
+	case class.Short:
+		method = http.MethodPost
+		path = fmt.Sprintf("%s?%s=%d", target.PathShort, target.QueryWork, r.Work.Milliseconds())
+	default:
+		method = http.MethodPost
+		path = fmt.Sprintf("%s?%s=%d", target.PathUpload, target.QueryWork, r.Work.Milliseconds())
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "https://"+r.Address+path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	request.Header.Set(target.HeaderRequest, r.ID)
+	if r.IdempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	return request, nil
+}
+
+func refusal(answer *http.Response) Result {
+	result := Result{Status: answer.StatusCode, Outcome: Unknown}
+	if answer.Header.Get(agent.HeaderOutcome) == agent.OutcomeNotRun {
+		result.Outcome = NotRun
+	}
+	if seconds, err := time.ParseDuration(answer.Header.Get("Retry-After") + "s"); err == nil {
+		result.RetryAfter = seconds
+	}
+	return result
+}
+
+// readFeed checks that the events are those of the service, numbered without a gap.
+func (c *Caller) readFeed(body io.Reader, events int) Result {
+	result := Result{Status: http.StatusOK}
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		line := lines.Text()
+		if data, ok := strings.CutPrefix(line, "data: "); ok && data != c.expect {
+			result.Outcome = Wrong
+			return result
+		}
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			if id != fmt.Sprint(result.Events) {
+				result.Outcome = Wrong
+				return result
+			}
+			result.Events++
+		}
+	}
+	result.Err = lines.Err()
+	result.Outcome = Cut
+	if result.Err == nil && result.Events == events {
+		result.Outcome = Done
+	}
+	return result
+}
+
+func (c *Caller) readAnswer(body io.Reader, r Request) Result {
+	result := Result{Status: http.StatusOK}
+	raw, err := io.ReadAll(body)
+	if err != nil {
+		result.Outcome = Cut
+		result.Err = err
+		return result
+	}
+	var answer target.Answer
+	if err := json.Unmarshal(raw, &answer); err != nil {
+		result.Outcome = Cut
+		result.Err = err
+		return result
+	}
+	hash := sha256.Sum256(r.Body)
+	expected := target.Answer{
+		Service: c.expect, Request: r.ID, Bytes: int64(len(r.Body)), Hash: hex.EncodeToString(hash[:]),
+	}
+	result.Outcome = Done
+	if answer != expected {
+		result.Outcome = Wrong
+	}
+	return result
+}
--- /dev/null
+++ b/internal/standin/kv/kv.go
@@ -0,0 +1,245 @@
+// Package kv implements a small stand-in for the platform's key-value service, with faults that tests switch on.
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gentianswitch/internal/store"
+)
+
+// PathFaults is the path at which PUT replaces the Faults, as JSON.
+const PathFaults = "/faults"
+
+// Faults are the faults in force.
+type Faults struct {
+	// Down makes every call fail with status 503.
+	Down bool `json:"down"`
+	// DelayMS delays each call by this number of milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// LoseWriteAnswers closes the connection of a write after it took effect.
+	LoseWriteAnswers bool `json:"lose_write_answers"`
+	// HeadVersion makes the service forget writes: keys with a higher version go back to it. Zero forgets nothing.
+	HeadVersion uint64 `json:"head_version"`
+}
+
+type record struct {
+	entry   store.Entry
+	lease   store.LeaseID
+	history []store.Entry
+}
+
+// Server is the stand-in. Its zero value is not usable.
+type Server struct {
+	mu      sync.Mutex
+	faults  Faults
+	records map[string]*record
+	leases  map[store.LeaseID]time.Time
+	ttls    map[store.LeaseID]time.Duration
+	last    store.LeaseID
+	changed chan struct{}
+	calls   map[string]int
+}
+
+// NewServer returns an empty service.
+func NewServer() *Server {
+	return &Server{
+		records: make(map[string]*record), leases: make(map[store.LeaseID]time.Time),
+		ttls: make(map[store.LeaseID]time.Duration), changed: make(chan struct{}), calls: make(map[string]int),
+	}
+}
+
+// Handler returns the HTTP handler of the service.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+PathFaults, s.setFaults)
+	mux.HandleFunc("GET /calls", s.getCalls)
+	mux.HandleFunc("GET "+store.PathKeys, s.faulty(s.get))
+	mux.HandleFunc("PUT "+store.PathKeys, s.faulty(s.put))
+	mux.HandleFunc("POST "+store.PathLeases, s.faulty(s.grant))
+	mux.HandleFunc("PUT "+store.PathLeases+"/{lease}", s.faulty(s.keepAlive))
+	return mux
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if f.HeadVersion > 0 {
+		s.forget(store.Version(f.HeadVersion))
+	}
+	s.notify()
+}
+
+// forget takes every key back to the given version.
+func (s *Server) forget(version store.Version) {
+	for _, r := range s.records {
+		for _, old := range r.history {
+			if old.Version == version {
+				r.entry = old
+			}
+		}
+	}
+}
+
+func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.calls)
+}
+
+func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults
+		s.calls[r.Method]++
+		s.mu.Unlock()
+		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		if f.Down {
+			http.Error(w, "the service is down", http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func keyOf(r *http.Request) string {
+	return strings.TrimPrefix(r.URL.Path, store.PathKeys)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	wait, _ := strconv.Atoi(query.Get(store.QueryWait))
+	after, _ := strconv.ParseUint(query.Get(store.QueryAfter), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	entry, ok := s.await(ctx, keyOf(r), store.Version(after), wait > 0)
+	if !ok {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	w.Header().Set(store.HeaderVersion, strconv.FormatUint(uint64(entry.Version), 10))
+	_, _ = w.Write(entry.Value)
+}
+
+// await returns the entry of a key, and for a watch waits until its version differs from after or the service is
+// taken down.
+func (s *Server) await(ctx context.Context, key string, after store.Version, isWatch bool) (store.Entry, bool) {
+	for {
+		s.mu.Lock()
+		s.expire(time.Now())
+		entry, changed, down := store.Entry{}, s.changed, s.faults.Down
+		r, ok := s.records[key]
+		if ok {
+			entry = r.entry
+		}
+		s.mu.Unlock()
+		if !isWatch || entry.Version != after || down {
+			return entry, ok && !down
+		}
+		select {
+		case <-ctx.Done():
+			return entry, ok
+		case <-changed:
+		}
+	}
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueSize+1))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(value) > store.MaxValueSize {
+		http.Error(w, "the value is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	query := r.URL.Query()
+	expected, _ := strconv.ParseUint(query.Get(store.QueryVersion), 10, 64)
+	lease, _ := strconv.ParseUint(query.Get(store.QueryLease), 10, 64)
+	version, ok, isAnswerLost := s.swap(keyOf(r), store.Version(expected), value, store.LeaseID(lease))
+	if isAnswerLost {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		http.Error(w, "another version", http.StatusPreconditionFailed)
+		return
+	}
+	w.Header().Set(store.HeaderVersion, strconv.FormatUint(uint64(version), 10))
+}
+
+func (s *Server) swap(key string, expected store.Version, value []byte, lease store.LeaseID) (store.Version, bool, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	r, ok := s.records[key]
+	if !ok {
+		r = &record{}
+	}
+	_, isLeaseLive := s.leases[lease]
+	if r.entry.Version != expected || (lease != 0 && !isLeaseLive) {
+		return 0, false, false
+	}
+	r.entry = store.Entry{Value: value, Version: expected + 1}
+	r.lease = lease
+	r.history = append(r.history, r.entry)
+	s.records[key] = r
+	s.notify()
+	return r.entry.Version, true, s.faults.LoseWriteAnswers
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	ttl, _ := strconv.Atoi(r.URL.Query().Get(store.QueryTTL))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	s.ttls[s.last] = time.Duration(ttl) * time.Millisecond
+	s.leases[s.last] = time.Now().Add(s.ttls[s.last])
+	_ = json.NewEncoder(w).Encode(store.LeaseReply{Lease: s.last})
+}
+
+func (s *Server) keepAlive(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("lease"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	lease := store.LeaseID(id)
+	if _, ok := s.leases[lease]; !ok {
+		http.Error(w, "no such lease", http.StatusNotFound)
+		return
+	}
+	s.leases[lease] = time.Now().Add(s.ttls[lease])
+}
+
+// expire deletes the keys of leases that have ended. The caller holds the mutex.
+func (s *Server) expire(now time.Time) {
+	for lease, end := range s.leases {
+		if now.Before(end) {
+			continue
+		}
+		delete(s.leases, lease)
+		for key, r := range s.records {
+			if r.lease == lease {
+				delete(s.records, key)
+			}
+		}
+	}
+}
+
+// notify wakes every watch. The caller holds the mutex.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,218 @@
+// Package target implements a stand-in for the operators' targets: a small HTTP/1.1 server with a feed, short requests
+// and uploads, and faults that tests switch on.
+package target
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Paths of the target.
+const (
+	PathFeed   = "/feed"
+	PathShort  = "/short"
+	PathUpload = "/upload"
+	PathRuns   = "/runs"
+	PathFaults = "/faults"
+)
+
+// Query parameters and headers of requests.
+const (
+	QueryEvents   = "events"
+	QueryInterval = "interval_ms"
+	QueryWork     = "work_ms"
+	HeaderRequest = "X-Request-Id"
+)
+
+// Faults are the faults in force.
+type Faults struct {
+	// Slowdown multiplies the time that work takes. Zero stands for 1.
+	Slowdown float64 `json:"slowdown"`
+	// FailShort answers short requests with status 500 after having run them.
+	FailShort bool `json:"fail_short"`
+	// Hang accepts requests and never answers.
+	Hang bool `json:"hang"`
+	// CutBody ends the connection in the middle of an answer.
+	CutBody bool `json:"cut_body"`
+	// IsUnhealthy and Load are what the health and load endpoints say, whatever is true.
+	IsUnhealthy bool    `json:"is_unhealthy"`
+	Load        float64 `json:"load"`
+}
+
+// Answer is the JSON body of a short request and of an upload.
+type Answer struct {
+	Service string `json:"service"`
+	Request string `json:"request"`
+	Bytes   int64  `json:"bytes"`
+	Hash    string `json:"hash"`
+}
+
+// Run counts how often a request was run.
+type Run struct {
+	Request string `json:"request"`
+	Count   int    `json:"count"`
+}
+
+// Target is the stand-in.
+type Target struct {
+	service string
+	slots   chan struct{}
+	mu      sync.Mutex
+	faults  Faults
+	runs    map[string]int
+	busy    time.Duration
+}
+
+// New returns a target of the named service that runs at most slots requests at once.
+func New(service string, slots int) *Target {
+	return &Target{service: service, slots: make(chan struct{}, slots), runs: make(map[string]int)}
+}
+
+// Handler returns the HTTP handler of the target.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathFeed, t.feed)
+	mux.HandleFunc(PathShort, t.work)
+	mux.HandleFunc("POST "+PathUpload, t.work)
+	mux.HandleFunc("GET "+PathRuns, t.listRuns)
+	mux.HandleFunc("PUT "+PathFaults, t.setFaults)
+	mux.HandleFunc("GET /health", t.health)
+	mux.HandleFunc("GET /load", t.load)
+	return mux
+}
+
+func number(r *http.Request, name string, fallback int) int {
+	n, err := strconv.Atoi(r.URL.Query().Get(name))
+	if err != nil {
+		return fallback
+	}
+	return n
+}
+
+func (t *Target) currentFaults() Faults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
+}
+
+func (t *Target) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// feed sends numbered events at an interval, then ends.
+func (t *Target) feed(w http.ResponseWriter, r *http.Request) {
+	events := number(r, QueryEvents, 10)
+	interval := time.Duration(number(r, QueryInterval, 100)) * time.Millisecond
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for i := range events {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, t.service); err != nil {
+			return
+		}
+		if err := controller.Flush(); err != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(interval):
+		}
+	}
+}
+
+// work reads the body, takes a slot for the time that the request asks for, and answers with a digest of the body.
+func (t *Target) work(w http.ResponseWriter, r *http.Request) {
+	hash := sha256.New()
+	size, err := io.Copy(hash, r.Body)
+	if err != nil {
+		return
+	}
+	t.slots <- struct{}{}
+	defer func() { <-t.slots }()
+	request := r.Header.Get(HeaderRequest)
+	faults := t.currentFaults()
+	t.run(request)
+	if faults.Hang {
+		<-r.Context().Done()
+		return
+	}
+	duration := time.Duration(number(r, QueryWork, 1)) * time.Millisecond
+	if faults.Slowdown > 0 {
+		duration = time.Duration(float64(duration) * faults.Slowdown)
+	}
+	time.Sleep(duration)
+	t.addBusy(duration)
+	if faults.FailShort {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	answer := Answer{Service: t.service, Request: request, Bytes: size, Hash: hex.EncodeToString(hash.Sum(nil))}
+	t.reply(w, answer, faults.CutBody)
+}
+
+func (t *Target) reply(w http.ResponseWriter, answer Answer, isCut bool) {
+	body, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if !isCut {
+		_, _ = w.Write(body)
+		return
+	}
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func (t *Target) run(request string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs[request]++
+}
+
+func (t *Target) addBusy(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy += d
+}
+
+func (t *Target) listRuns(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Run, 0, len(t.runs))
+	for request, count := range t.runs {
+		list = append(list, Run{Request: request, Count: count})
+	}
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+func (t *Target) health(w http.ResponseWriter, _ *http.Request) {
+	if t.currentFaults().IsUnhealthy {
+		http.Error(w, "unhealthy", http.StatusServiceUnavailable)
+	}
+}
+
+func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
+	load := t.currentFaults().Load
+	if load == 0 {
+		load = float64(len(t.slots)) / float64(cap(t.slots))
+	}
+	_, _ = fmt.Fprintf(w, "%.3f\n", load)
+}
