--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"gentianswitch/internal/agent"
-	"gentianswitch/internal/events"
-	"gentianswitch/internal/keys"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
@@ -49,11 +47,7 @@
 
 func start(common *settings.Common, own agent.Settings) int {
 	own.Zone, own.Data, own.Control = common.Zone, common.Data, common.Control
-	log, err := program.Logger(common)
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	set, credentials, err := common.Secrets()
+	log, set, credentials, err := program.Prepare(common)
 	if err != nil {
 		return program.ReportUsage(name, err)
 	}
@@ -67,25 +61,8 @@
 		return program.ReportUsage(name, err)
 	}
 	graceful, force := program.Stopping()
-	program.OnHangup(graceful, func() { reloadKeys(common, a, log) })
+	program.ReloadKeysOnHangup(graceful, common, a, log)
 	go func() { _ = stats.Serve(force, common.Metrics) }()
-	log.Emit(events.ProcessStarted, events.F("program", name), events.F("version", program.Version), events.F("zone", own.Zone))
-	err = a.Run(graceful, force)
-	log.Emit(events.ProcessStopped, events.Err(err))
-	if err != nil {
-		return program.ExitFailed
-	}
-	return program.ExitOK
-}
-
-func reloadKeys(common *settings.Common, a *agent.Agent, log *events.Logger) {
-	set, err := keys.Load(common.KeysFile)
-	if err == nil {
-		err = a.SetKeys(set)
-	}
-	if err != nil {
-		log.Emit(events.KeysRefused, events.Err(err))
-		return
-	}
-	log.Emit(events.KeysLoaded, events.F("current", set.Current().ID))
+	program.Begin(log, name, common)
+	return program.Finish(log, a.Run(graceful, force))
 }
--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -8,8 +8,6 @@
 	"os"
 
 	"gentianswitch/internal/balancer"
-	"gentianswitch/internal/events"
-	"gentianswitch/internal/keys"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
@@ -52,11 +50,7 @@
 
 func start(common *settings.Common, own balancer.Settings) int {
 	own.Zone, own.Data, own.Control = common.Zone, common.Data, common.Control
-	log, err := program.Logger(common)
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	set, credentials, err := common.Secrets()
+	log, set, credentials, err := program.Prepare(common)
 	if err != nil {
 		return program.ReportUsage(name, err)
 	}
@@ -70,25 +64,8 @@
 		return program.ReportUsage(name, err)
 	}
 	graceful, _ := program.Stopping()
-	program.OnHangup(graceful, func() { reloadKeys(common, b, log) })
+	program.ReloadKeysOnHangup(graceful, common, b, log)
 	go func() { _ = stats.Serve(graceful, common.Metrics) }()
-	log.Emit(events.ProcessStarted, events.F("program", name), events.F("version", program.Version), events.F("zone", own.Zone))
-	err = b.Run(graceful)
-	log.Emit(events.ProcessStopped, events.Err(err))
-	if err != nil {
-		return program.ExitFailed
-	}
-	return program.ExitOK
-}
-
-func reloadKeys(common *settings.Common, b *balancer.Balancer, log *events.Logger) {
-	set, err := keys.Load(common.KeysFile)
-	if err == nil {
-		err = b.SetKeys(set)
-	}
-	if err != nil {
-		log.Emit(events.KeysRefused, events.Err(err))
-		return
-	}
-	log.Emit(events.KeysLoaded, events.F("current", set.Current().ID))
+	program.Begin(log, name, common)
+	return program.Finish(log, b.Run(graceful))
 }
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -13,6 +13,8 @@
 	Announce      *Announce      `msgpack:"announce,omitempty"`
 	StatusRequest *StatusRequest `msgpack:"status_request,omitempty"`
 	Status        *Status        `msgpack:"status,omitempty"`
+	DrainRequest  *DrainRequest  `msgpack:"drain_request,omitempty"`
+	DrainStatus   *DrainStatus   `msgpack:"drain_status,omitempty"`
 }
 
 // Announce is what an agent tells its home balancers, at each heartbeat and at each change.
@@ -30,3 +32,28 @@
 	Revision uint64          `msgpack:"revision" json:"revision"`
 	Targets  []member.Target `msgpack:"targets" json:"targets"`
 }
+
+// DrainAction is what an operator asks of an agent.
+type DrainAction uint8
+
+// The actions.
+const (
+	// DrainStart takes no new work and keeps the work in progress.
+	DrainStart DrainAction = 1
+	// DrainUndo takes new work again.
+	DrainUndo DrainAction = 2
+	// DrainForce cuts the work in progress and ends the agent.
+	DrainForce DrainAction = 3
+)
+
+// DrainRequest asks an agent to change its lifecycle. The answer is a DrainStatus.
+type DrainRequest struct {
+	Action DrainAction `msgpack:"action"`
+}
+
+// DrainStatus tells how much work an agent still has in progress.
+type DrainStatus struct {
+	State    member.State `msgpack:"state" json:"state"`
+	Flows    int          `msgpack:"flows" json:"flows"`
+	Requests int          `msgpack:"requests" json:"requests"`
+}
