--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SKIP_GO := $(if $(KNOWN_GO),-skip '^($(KNOWN_GO))$$')
 SKIP_SPECS := $(if $(KNOWN_SPECS),--ginkgo.skip='$(KNOWN_SPECS)')
 
-.PHONY: build test race lint format
+.PHONY: build test race lint format docs
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,3 +27,6 @@
 
 format:
 	gofmt -w cmd internal integration
+
+docs:
+	go test ./internal/events -run TestEventsPageIsCurrent -update-events
