Admit requests by predicted wait, classes and deadlines; drain by progress

Cause: the agent gave every request to the target at once. Nothing kept slots for short work, bounded the queue or told a refused caller when to return, the drain waited for callers to close idle connections, and net/http could send a request with an Idempotency-Key twice on a reused connection. Ruled out: a pool of reused connections to the target. An answer that comes late on one belongs to nobody or to the next request, and net/http repeats replayable requests there without telling. One connection for each request makes both impossible. Change: packages admit (state machine with the policies full and fifo), retry (budget), health (judgement from answers); in the agent deadlines, outcomes, body limits, relaying to peers over the control listener, hand-on of new flows while draining, starting, full or ejected, undrain and forced drain.

--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"gentianswitch/internal/admit"
 	"gentianswitch/internal/agent"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
@@ -30,6 +31,7 @@
 	fs.IntVar(&own.Slots, "slots", 0, "`number` of requests that the target runs at once")
 	fs.IntVar(&own.Connections, "connections", 2000, "`number` of flows that the agent accepts")
 	settings.AddrPortsVar(fs, &own.Balancers, "balancers", "control addresses of the balancers")
+	definePolicy(fs, &own)
 	err := settings.Parse(fs, args, name+" --settings examples/sierra/agent-requests.yaml", os.Stderr)
 	if err != nil {
 		return program.ReportUsage(name, err)
@@ -45,6 +47,18 @@
 	return start(&common, own)
 }
 
+// definePolicy adds the settings of the admission and of its bounds.
+func definePolicy(fs *flag.FlagSet, own *agent.Settings) {
+	fs.StringVar(&own.Policy, "policy", admit.PolicyFull, "admission policy: full, or fifo as a baseline to compare with")
+	fs.IntVar(&own.ShortReserve, "short-reserve", 1, "`number` of slots that long work may not take")
+	fs.IntVar(&own.QueueLimit, "queue-limit", 256, "`number` of requests that may wait; the next is refused")
+	fs.DurationVar(&own.Deadline, "deadline", 10*time.Second, "`time` for short requests that state no deadline")
+	fs.DurationVar(&own.LongDeadline, "long-deadline", 2*time.Minute, "`time` for long requests that state no deadline")
+	fs.Int64Var(&own.BodyLimit, "body-limit", 1<<20, "`bytes` of the body of a feed or short request; a larger one gets status 413")
+	fs.Int64Var(&own.LongBodyLimit, "long-body-limit", 64<<20, "`bytes` of the body of a long request; a larger one gets status 413")
+	fs.DurationVar(&own.SlowStart, "slow-start", 5*time.Second, "`time` over which a target that starts gets a growing share of new work")
+}
+
 func start(common *settings.Common, own agent.Settings) int {
 	own.Zone, own.Data, own.Control = common.Zone, common.Data, common.Control
 	log, set, credentials, err := program.Prepare(common)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,10 +9,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quic-go/quic-go/http3"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"gentianswitch/internal/admit"
 	"gentianswitch/internal/class"
 	"gentianswitch/internal/connid"
 	"gentianswitch/internal/control"
@@ -20,6 +20,7 @@
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/keys"
 	"gentianswitch/internal/member"
+	"gentianswitch/internal/retry"
 	"gentianswitch/internal/ring"
 )
 
@@ -40,11 +41,48 @@
 	Connections int
 	// Balancers are the control addresses of the balancers to announce to.
 	Balancers []netip.AddrPort
+	// Policy names the admission policy, see package admit.
+	Policy string
+	// ShortReserve is the number of slots that long work may not take.
+	ShortReserve int
+	// QueueLimit is the number of requests that may wait.
+	QueueLimit int
+	// Deadline and LongDeadline apply to short and long requests that state none.
+	Deadline     time.Duration
+	LongDeadline time.Duration
+	// BodyLimit and LongBodyLimit bound the bodies of short and long requests, in bytes.
+	BodyLimit     int64
+	LongBodyLimit int64
+	// SlowStart is the time over which a target that starts gets a growing share of new work.
+	SlowStart time.Duration
+}
+
+func (s *Settings) bodyLimit(c class.Class) int64 {
+	if c == class.Long {
+		return s.LongBodyLimit
+	}
+	return s.BodyLimit
+}
+
+func (s *Settings) defaultDeadline(c class.Class) time.Duration {
+	if c == class.Long {
+		return s.LongDeadline
+	}
+	return s.Deadline
+}
+
+func (s *Settings) admission(seed uint64) admit.Settings {
+	return admit.Settings{
+		Slots: s.Slots, ShortReserve: s.ShortReserve, QueueLimit: s.QueueLimit, Policy: s.Policy, Seed: seed,
+	}
 }
 
 const (
-	ringDatagrams  = 4096
-	lingerDuration = time.Second
+	ringDatagrams = 4096
+	// retryRatio and retryLimit bound the retries of idempotent requests: the share of the requests, and how many
+	// unused ones are saved.
+	retryRatio = 0.1
+	retryLimit = 10
 )
 
 // Agent is a running agent.
@@ -58,11 +96,20 @@
 	lifecycle   *lifecycle
 	socket      *net.UDPConn
 	conns       map[class.Class]*virtualConn
-	servers     map[class.Class]*http3.Server
+	frontends   []*frontend
 	returns     *returns
 	outbound    *ring.Ring[outgoing]
 	counters    counters
+	requests    requestCounters
 	target      *targetClient
+	admission   *admission
+	budget      *retry.Budget
+	health      *healthMonitor
+	peers       *relayPool
+	progress    *progress
+	placements  *placements
+	slowStart   slowStart
+	stopper     *stopper
 	group       *duty.Group
 }
 
@@ -71,18 +118,31 @@
 	settings Settings, set *keys.Set, credentials *control.Credentials, log *events.Logger, scope tally.Scope,
 	now time.Time,
 ) (*Agent, error) {
+	incarnation := uint64(now.UnixMilli())
+	admitter, err := newAdmission(settings.admission(incarnation), log)
+	if err != nil {
+		return nil, err
+	}
 	a := &Agent{
 		settings:    settings,
 		log:         log,
 		credentials: credentials,
-		incarnation: uint64(now.UnixMilli()),
+		incarnation: incarnation,
 		lifecycle:   newLifecycle(),
 		returns:     newReturns(),
 		outbound:    ring.New[outgoing](ringDatagrams),
 		counters:    newCounters(scope),
+		requests:    newRequestCounters(scope),
 		target:      newTargetClient(settings.Target),
 		conns:       make(map[class.Class]*virtualConn),
-		servers:     make(map[class.Class]*http3.Server),
+		admission:   admitter,
+		budget:      retry.NewBudget(retryRatio, retryLimit),
+		health:      newHealthMonitor(now, log),
+		peers:       newRelayPool(credentials),
+		progress:    newProgress(),
+		placements:  newPlacements(now),
+		slowStart:   slowStart{started: now, duration: settings.SlowStart},
+		stopper:     newStopper(),
 	}
 	return a, a.SetKeys(set)
 }
@@ -107,26 +167,39 @@
 	_ = socket.SetReadBuffer(socketBufferBytes)
 	a.socket = socket
 	a.group = duty.NewGroup(context.WithoutCancel(ctx))
-	a.group.Go("send", a.sendAll)
-	a.group.Go("receive", a.receiveAll)
+	if err := a.startDuties(); err != nil {
+		return err
+	}
+	a.lifecycle.set(member.Ready)
+	a.watchSignals(ctx, force)
+	a.awaitDrained()
+	a.group.Stop()
+	return a.group.Wait()
+}
+
+func (a *Agent) startDuties() error {
 	for _, c := range class.All {
-		if err := a.serveClass(c); err != nil {
+		f, err := a.openFrontend(c)
+		if err != nil {
 			return err
 		}
+		a.conns[c] = f.conn
+		a.frontends = append(a.frontends, f)
+	}
+	a.group.Go("send", a.sendAll)
+	a.group.Go("receive", a.receiveAll)
+	for _, f := range a.frontends {
+		a.group.Go("accept "+f.class.String(), f.acceptAll)
 	}
+	a.group.Go("admission", a.admission.tickAll)
+	a.group.Go("health", a.watchHealth)
+	a.group.Go("control", a.serveControlAll)
 	for _, address := range a.settings.Balancers {
 		a.group.Go("announce to "+address.String(), func(ctx context.Context) error {
 			return a.announceTo(ctx, address)
 		})
 	}
-	a.lifecycle.set(member.Ready)
-	select {
-	case <-ctx.Done():
-		a.drain(force)
-	case <-a.group.Context().Done():
-	}
-	a.group.Stop()
-	return a.group.Wait()
+	return nil
 }
 
 func (a *Agent) announcement() member.Target {
--- /dev/null
+++ b/internal/agent/answer.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const copyBufferBytes = 32 << 10
+
+// HeaderOutcome tells a caller whether a request that failed was run: not-run or unknown.
+const HeaderOutcome = "Gentian-Outcome"
+
+// HeaderRetryAfterMs is the time of Retry-After in milliseconds, for callers that can use it.
+const HeaderRetryAfterMs = "Gentian-Retry-After-Ms"
+
+// Values of HeaderOutcome.
+const (
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+	outcomeDone    = "done"
+	outcomeCut     = "cut"
+	outcomeGone    = "caller-gone"
+)
+
+// result tells how the answer to a request ended.
+type result struct {
+	outcome string
+	status  int
+	// isCut is true when the answer stopped before its end; the stream must be reset.
+	isCut bool
+	// hasRun is true when the target was reached.
+	hasRun bool
+	reason string
+}
+
+// refusal is an answer that the agent gives in place of the target.
+type refusal struct {
+	status     int
+	outcome    string
+	reason     string
+	retryAfter time.Duration
+}
+
+// write sends the refusal to the caller.
+func (f refusal) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set(HeaderOutcome, f.outcome)
+	if f.retryAfter > 0 {
+		seconds := (f.retryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		header.Set(HeaderRetryAfterMs, formatMilliseconds(f.retryAfter))
+	}
+	http.Error(w, f.reason, f.status)
+}
+
+func (f refusal) result() result {
+	return result{outcome: f.outcome, status: f.status, reason: f.reason, hasRun: f.outcome != OutcomeNotRun}
+}
+
+// hopHeaders are the headers that concern one HTTP/1.1 connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// ownHeaders are the headers that only the agent may set on an answer.
+var ownHeaders = []string{HeaderOutcome, HeaderRetryAfterMs}
+
+// copyHeader copies the headers of a target's answer.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, name := range append(hopHeaders, ownHeaders...) {
+		to.Del(name)
+	}
+}
+
+// copyBody copies the body and flushes after each read, so that a feed's events are not held back.
+func copyBody(w http.ResponseWriter, body io.Reader) error {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return writeErr
+			}
+			if flushErr := controller.Flush(); flushErr != nil {
+				return flushErr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func formatMilliseconds(d time.Duration) string {
+	return strconv.FormatInt(max(d.Milliseconds(), 0), 10)
+}
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,44 @@
+package agent
+
+import (
+	"context"
+	"net"
+
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/control"
+)
+
+// serveControlAll accepts control connections of operators and peer agents.
+func (a *Agent) serveControlAll(ctx context.Context) error {
+	listener, err := net.Listen("tcp4", a.settings.Control.String())
+	if err != nil {
+		return eris.Wrap(err, "open control listener")
+	}
+	return control.Serve(ctx, listener, a.credentials, a.serveControl)
+}
+
+func (a *Agent) serveControl(ctx context.Context, conn *control.Conn) {
+	for ctx.Err() == nil {
+		m, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		if err := a.handleControl(ctx, conn, m); err != nil {
+			return
+		}
+	}
+}
+
+// handleControl answers one message. An error ends the connection.
+func (a *Agent) handleControl(ctx context.Context, conn *control.Conn, m control.Message) error {
+	switch {
+	case m.DrainRequest != nil:
+		a.stopper.order(m.DrainRequest.Action)
+		return conn.Send(control.Message{DrainStatus: a.drainStatus()})
+	case m.RelayOffer != nil:
+		return a.serveOffer(ctx, conn, m.RelayOffer)
+	default:
+		return eris.Errorf("unexpected message from %s", conn.Peer())
+	}
+}
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -1,6 +1,10 @@
 package agent
 
-import "github.com/uber-go/tally/v4"
+import (
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/class"
+)
 
 // counters are the metrics of the datagram path, in datagrams.
 type counters struct {
@@ -28,3 +32,27 @@
 		sendFailed:   scope.Counter("dropped_send_failed"),
 	}
 }
+
+// requestCounters are the metrics of the requests.
+type requestCounters struct {
+	scope       tally.Scope
+	retries     tally.Counter
+	relayed     tally.Counter
+	cutFeeds    tally.Counter
+	cutRequests tally.Counter
+}
+
+func newRequestCounters(scope tally.Scope) requestCounters {
+	return requestCounters{
+		scope:       scope,
+		retries:     scope.Counter("retries"),
+		relayed:     scope.Counter("relayed"),
+		cutFeeds:    scope.Counter("cut_feeds"),
+		cutRequests: scope.Counter("cut_requests"),
+	}
+}
+
+// finished counts a request by its class and outcome.
+func (c *requestCounters) finished(kind class.Class, outcome string) {
+	c.scope.Tagged(map[string]string{"class": kind.String(), "outcome": outcome}).Counter("requests").Inc(1)
+}
--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -39,8 +39,3 @@
 	defer l.mu.Unlock()
 	return l.changed
 }
-
-func (l *lifecycle) isDraining() bool {
-	state, _ := l.get()
-	return state == member.Draining
-}
--- a/internal/agent/path.go
+++ b/internal/agent/path.go
@@ -58,7 +58,7 @@
 	case err == nil:
 		a.continueFlow(id, header, payload)
 	case parsed.OpensFlow:
-		a.openFlow(header, payload)
+		a.openFlow(header, payload, parsed.DestinationID)
 	default:
 		a.counters.unknownFlow.Inc(1)
 	}
@@ -74,25 +74,7 @@
 	a.deliver(id.Class, header, payload)
 }
 
-// openFlow accepts the first datagrams of a flow, or hands them on to the second candidate.
-func (a *Agent) openFlow(header envelope.Header, payload []byte) {
-	if header.Service != a.settings.Service {
-		a.counters.otherService.Inc(1)
-		return
-	}
-	if !a.lifecycle.isDraining() {
-		a.deliver(header.Class, header, payload)
-		return
-	}
-	if header.Kind == envelope.HandOn || !header.Second.IsValid() {
-		a.counters.refusedFlow.Inc(1)
-		return
-	}
-	a.handOn(header, payload)
-}
-
-func (a *Agent) handOn(header envelope.Header, payload []byte) {
-	second := header.Second
+func (a *Agent) handOn(header envelope.Header, payload []byte, second netip.AddrPort, reason string) {
 	header.Kind = envelope.HandOn
 	header.Second = netip.AddrPort{}
 	sealed := envelope.Seal(nil, a.keys.Load(), header, payload)
@@ -102,7 +84,7 @@
 		return
 	}
 	a.log.Emit(events.FlowHandedOn, events.F("caller", header.Caller.String()),
-		events.F("second", second.String()), events.F("reason", "draining"))
+		events.F("second", second.String()), events.F("reason", reason))
 }
 
 func (a *Agent) deliver(c class.Class, header envelope.Header, payload []byte) {
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -1,103 +1,119 @@
 package agent
 
 import (
-	"io"
+	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
-)
 
-const (
-	targetDialTimeout = time.Second
-	copyBufferBytes   = 32 << 10
+	"github.com/rotisserie/eris"
 )
 
-// HeaderOutcome tells a caller whether a request that failed was run: not-run or unknown.
-const HeaderOutcome = "Gentian-Outcome"
-
-// Values of HeaderOutcome.
 const (
-	OutcomeNotRun  = "not-run"
-	OutcomeUnknown = "unknown"
-	outcomeDone    = "done"
-	outcomeCut     = "cut"
+	targetDialTimeout = time.Second
+	// maxAnswerHeaderBytes bounds the headers of a target's answer.
+	maxAnswerHeaderBytes = 64 << 10
 )
 
-// result tells how the answer to a request ended.
-type result struct {
-	outcome string
-	status  int
-	// isCut is true when the answer stopped before its end; the stream must be reset.
-	isCut bool
-}
+// errUnframed is the error for an answer whose end cannot be told from a cut.
+var errUnframed = eris.New("the answer has neither a length nor chunks")
 
 // targetClient calls the local target over HTTP/1.1.
+//
+// Each connection carries one request. So an answer can belong to no other request, and the transport never sends a
+// request again: net/http does that only for requests on reused connections.
 type targetClient struct {
 	address   string
 	transport *http.Transport
 }
 
+// trackedConn records whether a byte may have been sent.
+type trackedConn struct {
+	net.Conn
+	hasWritten atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.hasWritten.Store(true)
+	return c.Conn.Write(p)
+}
+
 func newTargetClient(address string) *targetClient {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &targetClient{address: address, transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableCompression: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, eris.Wrapf(err, "dial target %s", address)
+			}
+			return &trackedConn{Conn: conn}, nil
+		},
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}}
 }
 
-// forward sends r to the target and copies the answer to w.
-func (t *targetClient) forward(w http.ResponseWriter, r *http.Request) result {
-	out := r.Clone(r.Context())
+// attempt is one try of a request at the target.
+type attempt struct {
+	// answer is nil when the try failed.
+	answer *http.Response
+	err    error
+	// hasReached is true when a byte of the request may have reached the target.
+	hasReached bool
+}
+
+// send sends a request to the target and waits for the head of the answer. The caller closes the answer's body.
+func (t *targetClient) send(ctx context.Context, j *job) attempt {
+	var conn atomic.Pointer[trackedConn]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if tracked, ok := info.Conn.(*trackedConn); ok {
+			conn.Store(tracked)
+		}
+	}})
+	answer, err := t.transport.RoundTrip(t.outgoing(ctx, j))
+	used := conn.Load()
+	result := attempt{answer: answer, err: err, hasReached: used != nil && used.hasWritten.Load()}
+	if err == nil && !isFramed(answer) {
+		_ = answer.Body.Close()
+		result.answer, result.err = nil, errUnframed
+	}
+	return result
+}
+
+// outgoing returns the request for the target. It cannot be replayed, since it has no GetBody.
+func (t *targetClient) outgoing(ctx context.Context, j *job) *http.Request {
+	out := j.request.Clone(ctx)
 	out.URL.Scheme = "http"
 	out.URL.Host = t.address
-	out.Host = r.Host
+	out.Host = j.request.Host
 	out.RequestURI = ""
-	answer, err := t.transport.RoundTrip(out)
-	if err != nil {
-		w.Header().Set(HeaderOutcome, OutcomeUnknown)
-		http.Error(w, "the target did not answer", http.StatusBadGateway)
-		return result{outcome: OutcomeUnknown, status: http.StatusBadGateway}
+	out.GetBody = nil
+	out.Trailer = nil
+	out.Body = j.openBody()
+	for _, name := range hopHeaders {
+		out.Header.Del(name)
 	}
-	defer func() { _ = answer.Body.Close() }()
-	copyHeader(w.Header(), answer.Header)
-	w.WriteHeader(answer.StatusCode)
-	if err := copyBody(w, answer.Body); err != nil {
-		return result{outcome: outcomeCut, status: answer.StatusCode, isCut: true}
+	out.Header.Del("Expect")
+	if j.hasDeadline() {
+		out.Header.Set(HeaderDeadline, formatMilliseconds(time.Until(j.deadline)))
 	}
-	return result{outcome: outcomeDone, status: answer.StatusCode}
+	return out
 }
 
-// hopHeaders are the headers that concern one HTTP/1.1 connection only (RFC 9110, section 7.6.1).
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
-	for _, name := range hopHeaders {
-		to.Del(name)
+// isFramed reports whether the end of the answer can be told from a cut connection.
+func isFramed(answer *http.Response) bool {
+	if answer.ContentLength >= 0 || answer.Request.Method == http.MethodHead {
+		return true
 	}
+	return len(answer.TransferEncoding) > 0 && answer.TransferEncoding[0] == "chunked"
 }
 
-// copyBody copies the body and flushes after each read, so that a feed's events are not held back.
-func copyBody(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return writeErr
-			}
-			if flushErr := controller.Flush(); flushErr != nil {
-				return flushErr
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+// isTimeout reports whether the deadline ended a try.
+func isTimeout(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded)
 }
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -15,6 +15,11 @@
 	Status        *Status        `msgpack:"status,omitempty"`
 	DrainRequest  *DrainRequest  `msgpack:"drain_request,omitempty"`
 	DrainStatus   *DrainStatus   `msgpack:"drain_status,omitempty"`
+	RelayOffer    *RelayOffer    `msgpack:"relay_offer,omitempty"`
+	RelayDecision *RelayDecision `msgpack:"relay_decision,omitempty"`
+	RelayRequest  *RelayRequest  `msgpack:"relay_request,omitempty"`
+	RelayHead     *RelayHead     `msgpack:"relay_head,omitempty"`
+	RelayChunk    *RelayChunk    `msgpack:"relay_chunk,omitempty"`
 }
 
 // Announce is what an agent tells its home balancers, at each heartbeat and at each change.
