--- a/internal/agent/frontend.go
+++ b/internal/agent/frontend.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -35,15 +38,17 @@
 	conn      *virtualConn
 	transport *quic.Transport
 	listener  *quic.Listener
+	isClosed  atomic.Bool
 	mu        sync.Mutex
 	// server serves the flows opened since the last drain.
 	server *http3.Server
+	conns  map[*quic.Conn]struct{}
 }
 
 // openFrontend starts to accept the flows of one class.
 func (a *Agent) openFrontend(c class.Class) (*frontend, error) {
 	conn := newVirtualConn(a.socket.LocalAddr(), a.outbound)
-	f := &frontend{class: c, agent: a, conn: conn, transport: &quic.Transport{
+	f := &frontend{class: c, agent: a, conn: conn, conns: make(map[*quic.Conn]struct{}), transport: &quic.Transport{
 		Conn:                  conn,
 		ConnectionIDLength:    connid.Size,
 		ConnectionIDGenerator: &idGenerator{agent: a, class: c},
@@ -86,7 +91,7 @@
 func (f *frontend) acceptAll(ctx context.Context) error {
 	for {
 		conn, err := f.listener.Accept(ctx)
-		if ctx.Err() != nil || eris.Is(err, quic.ErrServerClosed) {
+		if ctx.Err() != nil || (err != nil && f.isClosed.Load()) {
 			return nil
 		}
 		if err != nil {
@@ -99,6 +104,7 @@
 // serveFlow serves one flow until it is closed.
 func (f *frontend) serveFlow(conn *quic.Conn) {
 	defer f.agent.progress.open()()
+	defer f.track(conn)()
 	err := f.serverFor().ServeQUICConn(conn)
 	if eris.Is(err, http.ErrServerClosed) && conn.Context().Err() == nil {
 		// A drain began between the choice of the server and its use.
@@ -106,6 +112,18 @@
 	}
 }
 
+// track records an open flow until the returned function is called.
+func (f *frontend) track(conn *quic.Conn) (closed func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns[conn] = struct{}{}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.conns, conn)
+	}
+}
+
 // serverFor returns the server for a new flow. A flow that was opened before a drain and comes up after it gets a
 // server of its own, which sends GOAWAY after a grace.
 func (f *frontend) serverFor() *http3.Server {
@@ -139,8 +157,15 @@
 	}
 }
 
-// close ends every flow.
+// close ends every flow and tells its caller.
 func (f *frontend) close() {
+	f.isClosed.Store(true)
+	f.mu.Lock()
+	conns := slices.Collect(maps.Keys(f.conns))
+	f.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "the agent ends")
+	}
 	_ = f.transport.Close()
 	_ = f.conn.Close()
 }
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -119,10 +119,20 @@
 
 // canRelay reports whether a peer agent may run the request.
 func (j *job) canRelay() bool {
-	isSmall := j.request.ContentLength >= 0 && j.request.ContentLength <= maxRelayBody
+	isSmall := j.hasBody || j.request.ContentLength >= 0 && j.request.ContentLength <= maxRelayBody
 	return j.class == class.Short && !j.isRelayed && isSmall
 }
 
+// settleBody finds out whether a request of a method that usually has no body has one, so that it can be repeated and
+// relayed.
+func (j *job) settleBody() error {
+	if j.request.ContentLength >= 0 || j.class == class.Feed || !j.isIdempotent() || j.request.Method == http.MethodPut {
+		return nil
+	}
+	_ = http.NewResponseController(j.writer).SetReadDeadline(j.deadline)
+	return j.readBody()
+}
+
 // readBody reads the body whole, so that it can be sent to a peer or once more.
 func (j *job) readBody() error {
 	if j.hasBody {
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -52,6 +52,9 @@
 		ctx, cancel = context.WithDeadline(ctx, j.deadline)
 		defer cancel()
 	}
+	if err := j.settleBody(); err != nil {
+		return a.reject(j, err)
+	}
 	a.budget.Earn()
 	t := a.admission.submit(j.admission())
 	hasRun := false
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -150,6 +150,7 @@
 		"target", "--listen", target, "--service", pool.Name, "--slots", fmt.Sprint(pool.Slots)))
 	args := append(e.commonArgs(ip, e.zone(i)), "--target", target, "--service", fmt.Sprint(pool.Service),
 		"--slots", fmt.Sprint(pool.Slots), "--balancers", strings.Join(e.ControlAddresses(), ","))
+	args = append(args, e.Deployment.AgentArgs...)
 	e.Agents = append(e.Agents, e.process(fmt.Sprintf("agent-%d", i), ip, "gentian-agent", args...))
 }
 
