Add package revision: numbered states of the tables

Cause: balancers compared bare store versions and could exchange no revision with each other. Change: revision.State takes rising revisions only, as whole tables or as a delta on an exact base (number and change ID), and hands out deltas to followers. Balancer offers applyRevision, currentRevision and revisionSince; control messages RevisionRequest, Revision, RevisionOffer and RevisionAck carry them. rebuild is serialised: two concurrent calls could store the older table last.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,8 @@
 	codec       atomic.Pointer[connid.Codec]
 	table       atomic.Pointer[route.Table]
 	state       *state
+	rebuildMu   sync.Mutex
+	applyMu     sync.Mutex
 	fabric      *listener
 	listeners   *listeners
 	free        *ring.Ring[*batch]
@@ -102,6 +105,8 @@
 
 // rebuild compiles the routing table from the present keys, tables and targets.
 func (b *Balancer) rebuild() {
+	b.rebuildMu.Lock()
+	defer b.rebuildMu.Unlock()
 	declared, targets := b.state.view()
 	b.table.Store(route.NewTable(b.codec.Load(), b.settings.Networks, declared, targets))
 }
--- a/internal/balancer/configuration.go
+++ b/internal/balancer/configuration.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"gentianswitch/internal/control"
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/revision"
 	"gentianswitch/internal/store"
 	"gentianswitch/internal/tables"
 )
@@ -39,10 +41,52 @@
 
 func (b *Balancer) applyEntry(entry store.Entry) {
 	declared, err := tables.Parse(entry.Value)
-	if err != nil || !b.state.apply(uint64(entry.Version), declared) {
+	if err != nil {
 		return
 	}
-	b.rebuild()
-	b.openListeners(declared)
-	b.log.Emit(events.RevisionApplied, events.F("revision", uint64(entry.Version)), events.F("source", "store"))
+	b.applyRevision(revision.Revision{
+		ID: revision.ID{Number: uint64(entry.Version)}, Rows: revision.AllRows(declared),
+	}, "store")
+}
+
+// applyRevision puts a revision in force if it is newer than the present one. The source, "store" or the address of
+// a peer, goes to the log.
+func (b *Balancer) applyRevision(r revision.Revision, source string) revision.Outcome {
+	b.applyMu.Lock()
+	defer b.applyMu.Unlock()
+	b.state.mu.Lock()
+	outcome := b.state.configuration.Apply(r)
+	known, declared := b.state.configuration.ID(), b.state.configuration.Tables()
+	b.state.mu.Unlock()
+	switch outcome {
+	case revision.Applied:
+		b.rebuild()
+		b.openListeners(declared)
+		b.log.Emit(events.RevisionApplied, events.F("revision", r.ID.Number), events.F("change", r.ID.Change),
+			events.F("source", source))
+	case revision.Same, revision.Gap:
+	default:
+		b.log.Emit(events.RevisionIgnored, events.F("revision", r.ID.Number), events.F("change", r.ID.Change),
+			events.F("known", known.String()), events.F("reason", outcome.String()), events.F("source", source))
+	}
+	return outcome
+}
+
+// currentRevision returns the revision in force.
+func (b *Balancer) currentRevision() revision.ID {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.state.configuration.ID()
+}
+
+// revisionSince returns what brings a process that has the given revision in force to the present one.
+func (b *Balancer) revisionSince(have revision.ID) revision.Revision {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.state.configuration.Since(have)
+}
+
+func (b *Balancer) acceptOffer(r revision.Revision, peer string) control.RevisionAck {
+	outcome := b.applyRevision(r, peer)
+	return control.RevisionAck{InForce: b.currentRevision(), Outcome: outcome}
 }
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -25,6 +25,12 @@
 		return nil
 	case m.StatusRequest != nil:
 		return conn.Send(control.Message{Status: b.status()})
+	case m.RevisionRequest != nil:
+		current := b.revisionSince(m.RevisionRequest.Have)
+		return conn.Send(control.Message{Revision: &current})
+	case m.RevisionOffer != nil:
+		ack := b.acceptOffer(m.RevisionOffer.Revision, conn.Peer())
+		return conn.Send(control.Message{RevisionAck: &ack})
 	default:
 		return nil
 	}
@@ -32,9 +38,7 @@
 
 func (b *Balancer) status() *control.Status {
 	_, targets := b.state.view()
-	b.state.mu.Lock()
-	defer b.state.mu.Unlock()
 	return &control.Status{
-		Balancer: b.settings.Data, Zone: b.settings.Zone, Revision: b.state.revision, Targets: targets,
+		Balancer: b.settings.Data, Zone: b.settings.Zone, Revision: b.currentRevision(), Targets: targets,
 	}
 }
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianswitch/internal/member"
+	"gentianswitch/internal/revision"
 	"gentianswitch/internal/tables"
 )
 
@@ -17,14 +18,13 @@
 
 // state is the run-time state of the control duties: the tables in force and the targets heard of.
 type state struct {
-	mu       sync.Mutex
-	revision uint64
-	declared *tables.Tables
-	targets  map[netip.AddrPort]heard
+	mu            sync.Mutex
+	configuration *revision.State
+	targets       map[netip.AddrPort]heard
 }
 
 func newState() *state {
-	return &state{declared: &tables.Tables{}, targets: make(map[netip.AddrPort]heard)}
+	return &state{configuration: revision.NewState(), targets: make(map[netip.AddrPort]heard)}
 }
 
 // view returns the tables in force and the known targets.
@@ -35,19 +35,7 @@
 	for _, h := range s.targets {
 		targets = append(targets, h.target)
 	}
-	return s.declared, targets
-}
-
-// apply puts a revision in force and reports false when it is not newer than the present one.
-func (s *state) apply(revision uint64, declared *tables.Tables) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if revision <= s.revision {
-		return false
-	}
-	s.revision = revision
-	s.declared = declared
-	return true
+	return s.configuration.Tables(), targets
 }
 
 // announce records a target and reports whether it differs from what was known.
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"gentianswitch/internal/member"
+	"gentianswitch/internal/revision"
 )
 
 // Message is one frame of a control connection. Exactly one field is set.
@@ -15,6 +16,11 @@
 	Status        *Status        `msgpack:"status,omitempty"`
 	DrainRequest  *DrainRequest  `msgpack:"drain_request,omitempty"`
 	DrainStatus   *DrainStatus   `msgpack:"drain_status,omitempty"`
+
+	RevisionRequest *RevisionRequest   `msgpack:"revision_request,omitempty"`
+	Revision        *revision.Revision `msgpack:"revision,omitempty"`
+	RevisionOffer   *RevisionOffer     `msgpack:"revision_offer,omitempty"`
+	RevisionAck     *RevisionAck       `msgpack:"revision_ack,omitempty"`
 }
 
 // Announce is what an agent tells its home balancers, at each heartbeat and at each change.
@@ -29,7 +35,7 @@
 type Status struct {
 	Balancer netip.AddrPort  `msgpack:"balancer" json:"balancer"`
 	Zone     string          `msgpack:"zone" json:"zone"`
-	Revision uint64          `msgpack:"revision" json:"revision"`
+	Revision revision.ID     `msgpack:"revision" json:"revision"`
 	Targets  []member.Target `msgpack:"targets" json:"targets"`
 }
 
--- /dev/null
+++ b/internal/revision/state_test.go
@@ -0,0 +1,109 @@
+package revision
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/tables"
+)
+
+func poolRow(name string, service uint16) Row {
+	return Row{Table: Pools, Name: name, Pool: &tables.Pool{Name: name, Service: service, QueueLimit: 64}}
+}
+
+func routeRow(name string, port uint16) Row {
+	return Row{Table: Routes, Name: name, Route: &tables.Route{
+		Name: name, Pool: "voice", Class: class.Short, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port),
+	}}
+}
+
+func id(number uint64) ID {
+	return ID{Number: number, Change: fmt.Sprint("change-", number)}
+}
+
+func TestRevisionSurvivesTheCodec(t *testing.T) {
+	sent := Revision{ID: id(2), Base: id(1), Rows: []Row{
+		poolRow("voice", 2), routeRow("voice-messages", 4433), {Table: Routes, Name: "old"},
+	}}
+	raw, err := msgpack.Marshal(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received Revision
+	if err := msgpack.Unmarshal(raw, &received); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(sent, received) {
+		t.Fatalf("received %+v, expected %+v", received, sent)
+	}
+}
+
+func TestStateTakesRisingRevisionsOnly(t *testing.T) {
+	whole := []Row{poolRow("voice", 2), routeRow("a", 1)}
+	steps := []struct {
+		name     string
+		offer    Revision
+		expected Outcome
+		inForce  ID
+	}{
+		{"first", Revision{ID: id(3), Rows: whole}, Applied, id(3)},
+		{"again", Revision{ID: id(3), Rows: whole}, Same, id(3)},
+		{"older", Revision{ID: id(2), Rows: whole}, Older, id(3)},
+		{"same number", Revision{ID: ID{Number: 3, Change: "other"}, Rows: whole}, Forked, id(3)},
+		{"delta without its base", Revision{ID: id(5), Base: id(4)}, Gap, id(3)},
+		{"delta on the same number", Revision{ID: id(5), Base: ID{Number: 3, Change: "other"}}, Gap, id(3)},
+		{"inconsistent", Revision{ID: id(5), Base: id(3), Rows: []Row{{Table: Pools, Name: "voice"}}}, Invalid, id(3)},
+		{"row twice", Revision{ID: id(5), Base: id(3), Rows: []Row{whole[0], whole[0]}}, Invalid, id(3)},
+		{"nameless", Revision{ID: id(5), Rows: []Row{{}}}, Invalid, id(3)},
+		{"delta", Revision{ID: id(4), Base: id(3), Rows: []Row{routeRow("b", 2)}}, Applied, id(4)},
+		{"whole over a gap", Revision{ID: id(9), Rows: whole}, Applied, id(9)},
+	}
+	s := NewState()
+	for _, step := range steps {
+		if outcome := s.Apply(step.offer); outcome != step.expected {
+			t.Fatalf("%s: outcome %s, expected %s", step.name, outcome, step.expected)
+		}
+		if s.ID() != step.inForce {
+			t.Fatalf("%s: %s in force, expected %s", step.name, s.ID(), step.inForce)
+		}
+	}
+}
+
+func TestSinceBringsAnyFollowerUpToDate(t *testing.T) {
+	s := NewState()
+	s.Apply(Revision{ID: id(1), Rows: []Row{poolRow("voice", 2)}})
+	followers := []*State{NewState()}
+	for n := uint64(2); n < 2*keptDeltas; n++ {
+		f := NewState()
+		f.Apply(s.Since(f.ID()))
+		followers = append(followers, f)
+		rows := []Row{routeRow(fmt.Sprint("r", n), uint16(n))}
+		if n > 5 {
+			rows = append(rows, Row{Table: Routes, Name: fmt.Sprint("r", n-3)})
+		}
+		if outcome := s.Apply(Revision{ID: id(n), Base: s.ID(), Rows: rows}); outcome != Applied {
+			t.Fatal(outcome)
+		}
+	}
+	deltas := 0
+	for _, f := range followers {
+		update := s.Since(f.ID())
+		if !update.IsWhole() {
+			deltas++
+		}
+		if outcome := f.Apply(update); outcome != Applied {
+			t.Fatalf("outcome %s for a follower", outcome)
+		}
+		if !reflect.DeepEqual(f.Tables(), s.Tables()) {
+			t.Fatal("a follower has other tables")
+		}
+	}
+	if deltas != keptDeltas {
+		t.Fatalf("%d followers got a delta, expected %d", deltas, keptDeltas)
+	}
+}
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -10,7 +10,8 @@
 
 // Route sends the traffic of one address to a pool.
 type Route struct {
-	Name string
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to write no field names
+	Name     string
 	// Address is the IPv4 address and port that callers use.
 	Address netip.AddrPort
 	// Pool is the name of the pool that serves the route.
@@ -21,7 +22,8 @@
 
 // Pool is the set of targets that announce one service, and the policy for them.
 type Pool struct {
-	Name string
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to write no field names
+	Name     string
 	// Service is the number that targets of the pool announce, 1 to 65535.
 	Service uint16
 	// ShortReserve is the number of slots of each target that long work may not take.
