--- /dev/null
+++ b/internal/control/gossip.go
@@ -0,0 +1,36 @@
+package control
+
+import "gentianswitch/internal/member"
+
+// Hello is the first message in each direction of a connection between balancers.
+type Hello struct {
+	Balancer member.Balancer `msgpack:"balancer"`
+}
+
+// Gossip passes membership on between balancers. Every 500 ms at the latest one is sent as a heartbeat. Revision is the
+// configuration revision that the sender has in force.
+type Gossip struct {
+	Revision uint64        `msgpack:"revision"`
+	Members  member.Gossip `msgpack:"members"`
+}
+
+// RevisionRequest asks a peer for the configuration that follows revision After. The answer is a RevisionReply.
+type RevisionRequest struct {
+	After uint64 `msgpack:"after"`
+}
+
+// RevisionReply carries configuration revisions in the encoding of package revision.
+type RevisionReply struct {
+	Body []byte `msgpack:"body"`
+}
+
+// AnnounceReply is a home balancer's answer to an Announce whenever its content has changed.
+type AnnounceReply struct {
+	// Homes are the balancers that the agent shall announce to.
+	Homes []member.Balancer `msgpack:"homes"`
+	// Spares are balancers to turn to when the homes cannot be reached.
+	Spares []member.Balancer `msgpack:"spares"`
+	// Incarnation is the newest incarnation known for the agent's address. An agent whose own is lower announces a
+	// higher one, since its clock lags behind that of the VM's former agent.
+	Incarnation uint64 `msgpack:"incarnation"`
+}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -10,16 +10,23 @@
 
 // Message is one frame of a control connection. Exactly one field is set.
 type Message struct {
-	Announce      *Announce      `msgpack:"announce,omitempty"`
-	StatusRequest *StatusRequest `msgpack:"status_request,omitempty"`
-	Status        *Status        `msgpack:"status,omitempty"`
-	DrainRequest  *DrainRequest  `msgpack:"drain_request,omitempty"`
-	DrainStatus   *DrainStatus   `msgpack:"drain_status,omitempty"`
+	Announce        *Announce        `msgpack:"announce,omitempty"`
+	AnnounceReply   *AnnounceReply   `msgpack:"announce_reply,omitempty"`
+	Hello           *Hello           `msgpack:"hello,omitempty"`
+	Gossip          *Gossip          `msgpack:"gossip,omitempty"`
+	RevisionRequest *RevisionRequest `msgpack:"revision_request,omitempty"`
+	RevisionReply   *RevisionReply   `msgpack:"revision_reply,omitempty"`
+	StatusRequest   *StatusRequest   `msgpack:"status_request,omitempty"`
+	Status          *Status          `msgpack:"status,omitempty"`
+	DrainRequest    *DrainRequest    `msgpack:"drain_request,omitempty"`
+	DrainStatus     *DrainStatus     `msgpack:"drain_status,omitempty"`
 }
 
 // Announce is what an agent tells its home balancers, at each heartbeat and at each change.
 type Announce struct {
 	Target member.Target `msgpack:"target"`
+	// IsLeaving tells that the agent moves to another home balancer.
+	IsLeaving bool `msgpack:"is_leaving,omitempty"`
 }
 
 // StatusRequest asks a balancer for its Status.
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -14,6 +14,9 @@
 	Draining State = 3
 	Gone     State = 4
 	Failed   State = 5
+	// Damped is a target that failed repeatedly and gets no new flows until it has been up for a while. It exists
+	// only in the view of a balancer.
+	Damped State = 6
 )
 
 // String returns the name that logs and the operator's output use.
@@ -29,6 +32,8 @@
 		return "gone"
 	case Failed:
 		return "failed"
+	case Damped:
+		return "damped"
 	default:
 		return "invalid"
 	}
@@ -36,6 +41,7 @@
 
 // Target is what an agent announces of itself and its target.
 type Target struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec through reflection
 	// Agent is the address of the agent's datagram socket; it names the target.
 	Agent netip.AddrPort `msgpack:"agent"`
 	// Control is the address at which the agent accepts control connections.
