Return an error for msgpack that the codec panics on

Cause: the codec panics for nil in place of a struct that decodes itself (time.Time); a fuzz target of package revision found it. Change: frame.Decode turns it into an error; frame.Read uses it. Without it the test printed 'panic: reflect: call of reflect.Value.IsNil on struct Value'; with it it passes.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -49,7 +49,18 @@
 	if err != nil {
 		return eris.Wrap(err, "read frame body")
 	}
-	return eris.Wrap(msgpack.Unmarshal(body, value), "decode frame")
+	return eris.Wrap(Decode(body, value), "decode frame")
+}
+
+// Decode reads one msgpack value from untrusted bytes into value, a pointer. The codec panics when it finds nil in place
+// of a struct that decodes itself, such as time.Time; Decode returns an error then.
+func Decode(raw []byte, value any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = eris.Errorf("malformed msgpack: %v", cause)
+		}
+	}()
+	return eris.Wrap(msgpack.Unmarshal(raw, value), "malformed msgpack")
 }
 
 // readBody grows the buffer with the bytes that arrive, so that a length alone claims no memory.
