--- a/internal/revision/head.go
+++ b/internal/revision/head.go
@@ -6,6 +6,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentianswitch/internal/frame"
 	"gentianswitch/internal/store"
 	"gentianswitch/internal/tables"
 )
@@ -66,7 +67,7 @@
 // DecodeHead reads the stored form of a head.
 func DecodeHead(raw []byte) (Head, error) {
 	var h Head
-	if err := msgpack.Unmarshal(raw, &h); err != nil {
+	if err := frame.Decode(raw, &h); err != nil {
 		return Head{}, eris.Wrapf(ErrDamaged, "decode head: %v", err)
 	}
 	if h.Format != headFormat {
--- a/internal/revision/log.go
+++ b/internal/revision/log.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentianswitch/internal/frame"
 	"gentianswitch/internal/store"
 	"gentianswitch/internal/tables"
 )
@@ -107,7 +108,7 @@
 		return nil, eris.Wrapf(ErrDamaged, "the content of snapshot %s does not match its digest", s.ID)
 	}
 	var rows []Row
-	if err := msgpack.Unmarshal(content, &rows); err != nil {
+	if err := frame.Decode(content, &rows); err != nil {
 		return nil, eris.Wrapf(ErrDamaged, "decode snapshot %s: %v", s.ID, err)
 	}
 	whole, err := Patch(&tables.Tables{}, rows)
--- a/internal/revision/propose_test.go
+++ b/internal/revision/propose_test.go
@@ -29,7 +29,7 @@
 			rows[name] = Row{Table: Routes, Name: name}
 		}
 	}
-	list := []Row{poolRow("voice", 2)}
+	list := []Row{poolRow()}
 	for _, row := range rows {
 		list = append(list, row)
 	}
@@ -143,11 +143,11 @@
 func TestExactlyOneOfTwoRacersIsAccepted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newFakeStore()
-		start := newProposer(s, smallLimits, proposal(0, nil, tablesOf(poolRow("voice", 2), routeRow("r1", 1))))
+		start := newProposer(s, smallLimits, proposal(0, nil, tablesOf(poolRow(), routeRow("r1", 1))))
 		runAll(t, s, calm, start)
 		planned := uint64(1)
-		a := newProposer(s, smallLimits, proposal(1, &planned, tablesOf(poolRow("voice", 2), routeRow("r1", 2))))
-		b := newProposer(s, smallLimits, proposal(2, &planned, tablesOf(poolRow("voice", 2), routeRow("r1", 3))))
+		a := newProposer(s, smallLimits, proposal(1, &planned, tablesOf(poolRow(), routeRow("r1", 2))))
+		b := newProposer(s, smallLimits, proposal(2, &planned, tablesOf(poolRow(), routeRow("r1", 3))))
 		runAll(t, s, calm, a, b)
 		if a.result.Verdict != Accepted {
 			a, b = b, a
@@ -167,13 +167,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newFakeStore()
 		planned := uint64(0)
-		p := proposal(1, &planned, tablesOf(poolRow("voice", 2), routeRow("r1", 1)))
+		p := proposal(1, &planned, tablesOf(poolRow(), routeRow("r1", 1)))
 		first := newProposer(s, smallLimits, p)
 		runAll(t, s, faults, first)
 		if first.result.Verdict == Unknown {
 			unknown++
 		}
-		other := tablesOf(poolRow("voice", 2), routeRow("r1", uint16(rapid.IntRange(1, 2).Draw(t, "other"))))
+		other := tablesOf(poolRow(), routeRow("r1", uint16(rapid.IntRange(1, 2).Draw(t, "other"))))
 		between := newProposer(s, smallLimits, proposal(2, nil, other))
 		runAll(t, s, calm, between)
 		var repeated []*proposer
--- a/internal/revision/state_test.go
+++ b/internal/revision/state_test.go
@@ -9,11 +9,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentianswitch/internal/class"
+	"gentianswitch/internal/frame"
 	"gentianswitch/internal/tables"
 )
 
-func poolRow(name string, service uint16) Row {
-	return Row{Table: Pools, Name: name, Pool: &tables.Pool{Name: name, Service: service, QueueLimit: 64}}
+func poolRow() Row {
+	const name = "voice"
+	return Row{Table: Pools, Name: name, Pool: &tables.Pool{Name: name, Service: 2, QueueLimit: 64}}
 }
 
 func routeRow(name string, port uint16) Row {
@@ -28,14 +30,14 @@
 
 func TestRevisionSurvivesTheCodec(t *testing.T) {
 	sent := Revision{ID: id(2), Base: id(1), Rows: []Row{
-		poolRow("voice", 2), routeRow("voice-messages", 4433), {Table: Routes, Name: "old"},
+		poolRow(), routeRow("voice-messages", 4433), {Table: Routes, Name: "old"},
 	}}
 	raw, err := msgpack.Marshal(sent)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var received Revision
-	if err := msgpack.Unmarshal(raw, &received); err != nil {
+	if err := frame.Decode(raw, &received); err != nil {
 		t.Fatal(err)
 	}
 	if !reflect.DeepEqual(sent, received) {
@@ -44,7 +46,7 @@
 }
 
 func TestStateTakesRisingRevisionsOnly(t *testing.T) {
-	whole := []Row{poolRow("voice", 2), routeRow("a", 1)}
+	whole := []Row{poolRow(), routeRow("a", 1)}
 	steps := []struct {
 		name     string
 		offer    Revision
@@ -76,7 +78,7 @@
 
 func TestSinceBringsAnyFollowerUpToDate(t *testing.T) {
 	s := NewState()
-	s.Apply(Revision{ID: id(1), Rows: []Row{poolRow("voice", 2)}})
+	s.Apply(Revision{ID: id(1), Rows: []Row{poolRow()}})
 	followers := []*State{NewState()}
 	for n := uint64(2); n < 2*keptDeltas; n++ {
 		f := NewState()
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -141,6 +143,9 @@
 		return 0, nil, nil, eris.Wrapf(err, "store %s at %s", step, h.base)
 	}
 	reply, err := h.client.Do(request)
+	if isDialError(err) {
+		return 0, nil, nil, eris.Wrapf(ErrNotSent, "store %s at %s: %v", step, h.base, err)
+	}
 	if err != nil {
 		return 0, nil, nil, eris.Wrapf(err, "store %s at %s", step, h.base)
 	}
@@ -149,6 +154,12 @@
 	return reply.StatusCode, reply.Header, answer, eris.Wrapf(err, "store %s at %s", step, h.base)
 }
 
+// isDialError reports whether a call failed before a connection was made.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 func (h *HTTP) statusError(status int, step string) error {
 	switch status {
 	case http.StatusNotFound:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,6 +19,8 @@
 	ErrConflict = eris.New("version conflict")
 	// ErrTooLarge means that the value exceeds MaxValueSize and was not sent.
 	ErrTooLarge = eris.New("value is larger than 1 MiB")
+	// ErrNotSent means that no connection could be made, so that the call has had no effect.
+	ErrNotSent = eris.New("the store cannot be reached")
 )
 
 // Version counts the writes of a key. Zero means that the key does not exist.
