Ask balancers for their status in place of counting log lines

Cause: AwaitBalancer counted log lines, which is brittle once balancers learn of targets from peers. Change: the emulator asks each balancer for its Status over the control connection; it can also add and remove balancers (the fabric learns of it), freeze and thaw processes, give a VM to another pool, and read the targets' runs.

--- /dev/null
+++ b/internal/emulator/change.go
@@ -0,0 +1,80 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/standin/target"
+)
+
+// AddBalancer starts one more balancer and lets the fabric spray over it too. Agents announce themselves to the
+// balancers of the deployment only, so the new one learns of the targets from its peers.
+func (e *Emulator) AddBalancer() (*Process, error) {
+	b := e.balancer(len(e.Balancers))
+	e.Balancers = append(e.Balancers, b)
+	if err := b.Start(); err != nil {
+		return nil, err
+	}
+	return b, e.sprayOver(e.Balancers)
+}
+
+// RemoveBalancer lets the fabric spray over the other balancers only. The process goes on.
+func (e *Emulator) RemoveBalancer(b *Process) error {
+	e.Balancers = slices.DeleteFunc(e.Balancers, func(other *Process) bool { return other == b })
+	e.spent = append(e.spent, b)
+	return e.sprayOver(e.Balancers)
+}
+
+// ReplaceHost ends the target and the agent of VM i without warning and starts a target and an agent of another pool
+// at the same addresses.
+func (e *Emulator) ReplaceHost(i int, pool Pool) error {
+	former := []*Process{e.Agents[i], e.Targets[i]}
+	for _, p := range former {
+		if err := p.Kill(); err != nil {
+			return err
+		}
+	}
+	e.Targets[i], e.Agents[i] = e.host(i, pool)
+	if err := e.Targets[i].Start(); err != nil {
+		return err
+	}
+	if err := await(e.Targets[i].Name, func() bool { return isListening(e.targetAddress(i)) }); err != nil {
+		return err
+	}
+	return e.Agents[i].Start()
+}
+
+// HostsOf returns the numbers of the VMs of a pool.
+func (e *Emulator) HostsOf(pool string) []int {
+	var list []int
+	first := 0
+	for _, p := range e.Deployment.Pools {
+		for i := range p.Hosts {
+			if p.Name == pool {
+				list = append(list, first+i)
+			}
+		}
+		first += p.Hosts
+	}
+	return list
+}
+
+// Runs asks the target on VM i which requests it has run and how often.
+func (e *Emulator) Runs(i int) ([]target.Run, error) {
+	answer, err := http.Get(e.TargetURL(i) + target.PathRuns)
+	if err != nil {
+		return nil, eris.Wrapf(err, "runs of %s", e.Targets[i].Name)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var list []target.Run
+	err = json.NewDecoder(answer.Body).Decode(&list)
+	return list, eris.Wrapf(err, "runs of %s", e.Targets[i].Name)
+}
+
+func (e *Emulator) targetAddress(i int) string {
+	return fmt.Sprintf("%s:%d", e.ip(hostFirstTarget+i), portTarget)
+}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -48,10 +47,12 @@
 	Balancers []*Process
 	Agents    []*Process
 	Targets   []*Process
-	bin       string
-	block     string
-	lock      net.Listener
-	seed      uint64
+	// spent are balancers that the fabric no longer sprays over.
+	spent []*Process
+	bin   string
+	block string
+	lock  net.Listener
+	seed  uint64
 }
 
 // New prepares a deployment whose programs are in the directory bin and whose files go to dir. Nothing runs yet.
@@ -74,7 +75,9 @@
 	host := 0
 	for _, p := range deployment.Pools {
 		for range p.Hosts {
-			e.addHost(host, p)
+			target, agent := e.host(host, p)
+			e.Targets = append(e.Targets, target)
+			e.Agents = append(e.Agents, agent)
 			host++
 		}
 	}
@@ -143,14 +146,15 @@
 	return e.process(fmt.Sprintf("balancer-%d", i), ip, "gentian-balancer", args...)
 }
 
-func (e *Emulator) addHost(i int, pool Pool) {
+// host returns the target and the agent of VM i.
+func (e *Emulator) host(i int, pool Pool) (target, agent *Process) {
 	ip := e.ip(hostFirstTarget + i)
-	target := fmt.Sprintf("%s:%d", ip, portTarget)
-	e.Targets = append(e.Targets, e.process(fmt.Sprintf("target-%d", i), ip, "gentian-standin",
-		"target", "--listen", target, "--service", pool.Name, "--slots", fmt.Sprint(pool.Slots)))
-	args := append(e.commonArgs(ip, e.zone(i)), "--target", target, "--service", fmt.Sprint(pool.Service),
+	address := e.targetAddress(i)
+	target = e.process(fmt.Sprintf("target-%d", i), ip, "gentian-standin",
+		"target", "--listen", address, "--service", pool.Name, "--slots", fmt.Sprint(pool.Slots))
+	args := append(e.commonArgs(ip, e.zone(i)), "--target", address, "--service", fmt.Sprint(pool.Service),
 		"--slots", fmt.Sprint(pool.Slots), "--balancers", strings.Join(e.ControlAddresses(), ","))
-	e.Agents = append(e.Agents, e.process(fmt.Sprintf("agent-%d", i), ip, "gentian-agent", args...))
+	return target, e.process(fmt.Sprintf("agent-%d", i), ip, "gentian-agent", args...)
 }
 
 // ControlAddresses returns the control addresses of the balancers.
@@ -186,6 +190,7 @@
 func (e *Emulator) All() []*Process {
 	all := []*Process{e.Store, e.Fabric}
 	all = append(all, e.Balancers...)
+	all = append(all, e.spent...)
 	all = append(all, e.Targets...)
 	return append(all, e.Agents...)
 }
@@ -203,25 +208,7 @@
 	if err := e.Control("apply", "--store", e.StoreAddress(), "--file", e.TablesFile()); err != nil {
 		return err
 	}
-	for _, b := range e.Balancers {
-		if err := e.AwaitBalancer(b); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// AwaitBalancer waits until a balancer has opened its listeners and knows every target.
-func (e *Emulator) AwaitBalancer(b *Process) error {
-	return await(b.Name, func() bool {
-		log, err := os.ReadFile(b.LogFile())
-		if err != nil {
-			return false
-		}
-		text := string(log)
-		return strings.Count(text, `"msg":"listener opened"`) >= len(e.Deployment.Routes)*b.runs &&
-			strings.Count(text, `"state":"ready"`) >= len(e.Agents)*b.runs
-	})
+	return e.AwaitBalancers()
 }
 
 // Control runs gentianctl with the given arguments and returns its output in the error when it fails.
@@ -240,33 +227,6 @@
 	return nil
 }
 
-// SetFaults replaces the faults of a stand-in.
-func SetFaults(url, faults string) error {
-	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(faults))
-	if err != nil {
-		return eris.Wrap(err, "set faults")
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return eris.Wrap(err, "set faults")
-	}
-	_ = answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return eris.Errorf("set faults: status %d", answer.StatusCode)
-	}
-	return nil
-}
-
-// FabricFaultsURL returns the URL of the fabric's faults.
-func (e *Emulator) FabricFaultsURL() string {
-	return fmt.Sprintf("http://%s:%d/faults", e.ip(hostPlatform), portFaults)
-}
-
-// StoreFaultsURL returns the URL of the store's faults.
-func (e *Emulator) StoreFaultsURL() string {
-	return "http://" + e.StoreAddress() + "/faults"
-}
-
 // TargetURL returns the base URL of the target on VM i.
 func (e *Emulator) TargetURL(i int) string {
 	return fmt.Sprintf("http://%s:%d", e.Targets[i].IP, portTarget)
@@ -281,22 +241,3 @@
 	}
 	_ = e.lock.Close()
 }
-
-func isListening(address string) bool {
-	conn, err := net.Dial("tcp4", address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
-// await polls a condition until it holds.
-func await(what string, isReady func() bool) error {
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyInterval) {
-		if isReady() {
-			return nil
-		}
-	}
-	return eris.Errorf("%s is not ready after %s", what, readyTimeout)
-}
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -22,14 +22,14 @@
 	dir     string
 	command *exec.Cmd
 	ended   chan struct{}
-	runs    int
+	// isDraining is true from the first SIGTERM of a run on.
+	isDraining bool
 }
 
 const fileMode = 0o600
 
 // Start starts the program. Its standard output and error go to a file in the directory of the emulator.
 func (p *Process) Start() error {
-	p.runs++
 	log, err := os.OpenFile(p.LogFile(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return eris.Wrapf(err, "start %s", p.Name)
@@ -48,6 +48,7 @@
 	}()
 	p.command = command
 	p.ended = ended
+	p.isDraining = false
 	return nil
 }
 
@@ -58,6 +59,9 @@
 
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) error {
+	if signal == syscall.SIGTERM {
+		p.isDraining = true
+	}
 	return eris.Wrapf(p.command.Process.Signal(signal), "signal %s", p.Name)
 }
 
@@ -70,6 +74,24 @@
 	return nil
 }
 
+// Freeze pauses the process with SIGSTOP until Thaw.
+func (p *Process) Freeze() error {
+	return p.Signal(syscall.SIGSTOP)
+}
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error {
+	return p.Signal(syscall.SIGCONT)
+}
+
+// Restart stops the process gracefully within the given time and starts it again.
+func (p *Process) Restart(limit time.Duration) error {
+	if err := p.Stop(limit); err != nil {
+		return err
+	}
+	return p.Start()
+}
+
 // Stop asks the process to end and waits for it for at most the given time.
 func (p *Process) Stop(limit time.Duration) error {
 	if err := p.Signal(syscall.SIGTERM); err != nil {
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -15,8 +15,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// PathFaults is the path at which PUT replaces the Faults, as JSON.
-const PathFaults = "/faults"
+// Paths of the handler.
+const (
+	// PathFaults is the path at which PUT replaces the Faults, as JSON.
+	PathFaults = "/faults"
+	// PathBalancers is the path at which PUT replaces the local IPs of the balancers, as a JSON list of strings.
+	PathBalancers = "/balancers"
+)
 
 // Faults are the faults in force, for both directions.
 type Faults struct {
@@ -60,22 +65,30 @@
 	return &Fabric{settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed))}
 }
 
-// Handler returns the HTTP handler that changes the faults.
+// Handler returns the HTTP handler that changes the faults and the balancers.
 func (f *Fabric) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
-		var next Faults
-		if err := json.NewDecoder(r.Body).Decode(&next); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.faults = next
+		replace(f, w, r, &f.faults)
+	})
+	mux.HandleFunc("PUT "+PathBalancers, func(w http.ResponseWriter, r *http.Request) {
+		replace(f, w, r, &f.settings.Balancers)
 	})
 	return mux
 }
 
+// replace decodes the body of r into a value that the mutex of f guards.
+func replace[T any](f *Fabric, w http.ResponseWriter, r *http.Request, value *T) {
+	var next T
+	if err := json.NewDecoder(r.Body).Decode(&next); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*value = next
+}
+
 // Run sprays until ctx ends.
 func (f *Fabric) Run(ctx context.Context) error {
 	var addresses sync.WaitGroup
