Send what a balancer has read before it stops

Cause: Run ended the duties at once; what stood in the rings was lost, and a batch being sent was cut short. Ruled out: ending the stages one after the other by contexts of their own, which needs one context and one wait group for each ring and proves no more than carrying the rest in order once every duty has ended. Change: the end of the context only stops the reads; after the duties have returned, flush carries what stands in the four rings, then the sockets are closed. Before: TestStopSendsWhatWasRead printed 'the agent received 0 of 40 datagrams' and 'the caller received 0 of 40 datagrams'.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -125,5 +125,9 @@
 	b.group.Go("watch store", b.watchStore)
 	b.group.Go("expire targets", b.expireTargets)
 	b.group.Go("heartbeat", b.sendHeartbeats)
-	return b.group.Wait()
+	err = b.group.Wait()
+	b.flush()
+	b.listeners.close()
+	b.fabric.close()
+	return err
 }
--- a/internal/balancer/listener.go
+++ b/internal/balancer/listener.go
@@ -1,10 +1,10 @@
 package balancer
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/ipv4"
@@ -14,10 +14,10 @@
 
 // listener is the socket for one port of the routes.
 type listener struct {
-	bind   netip.AddrPort
-	socket *net.UDPConn
-	packet *ipv4.PacketConn
-	closed atomic.Bool
+	bind    netip.AddrPort
+	socket  *net.UDPConn
+	packet  *ipv4.PacketConn
+	stopped atomic.Bool
 }
 
 func openListener(bind netip.AddrPort) (*listener, error) {
@@ -31,13 +31,18 @@
 	return &listener{bind: bind, socket: socket, packet: ipv4.NewPacketConn(socket)}, nil
 }
 
-func (l *listener) close() {
-	l.closed.Store(true)
-	_ = l.socket.Close()
+// stopReading makes the present and every later read fail. Writes go on until close.
+func (l *listener) stopReading() {
+	l.stopped.Store(true)
+	_ = l.socket.SetReadDeadline(time.Unix(1, 0))
 }
 
-func (l *listener) isClosed() bool {
-	return l.closed.Load()
+func (l *listener) isStopped() bool {
+	return l.stopped.Load()
+}
+
+func (l *listener) close() {
+	_ = l.socket.Close()
 }
 
 // read fills b with the datagrams that wait, at least one.
@@ -50,7 +55,7 @@
 }
 
 // write sends the datagrams of b and returns the number that the kernel refused.
-func (l *listener) write(ctx context.Context, b *batch) (failed int) {
+func (l *listener) write(b *batch) (failed int) {
 	for sent := 0; sent < b.count; {
 		n, err := l.packet.WriteBatch(b.messages[sent:b.count], 0)
 		if err != nil || n <= 0 {
@@ -58,9 +63,6 @@
 			n = 1
 		}
 		sent += n
-		if ctx.Err() != nil {
-			return failed + b.count - sent
-		}
 	}
 	return failed
 }
--- a/internal/balancer/listeners.go
+++ b/internal/balancer/listeners.go
@@ -68,6 +68,15 @@
 	l.addresses[opened.bind] = address
 }
 
+// close closes every socket.
+func (l *listeners) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, opened := range l.byAddress {
+		opened.close()
+	}
+}
+
 // openListeners opens the sockets that the declared routes need. A socket whose route was removed stays open, since
 // flows that are open on it go on.
 func (b *Balancer) openListeners(declared *tables.Tables) {
--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -38,14 +38,14 @@
 	b.free.TryPut(done)
 }
 
-// receive reads batches from a socket into a ring. A full ring drops the batch.
+// receive reads batches from a socket into a ring until ctx ends. A full ring drops the batch.
 func (b *Balancer) receive(ctx context.Context, from *listener, to *ring.Ring[*batch]) error {
-	stop := context.AfterFunc(ctx, from.close)
+	stop := context.AfterFunc(ctx, from.stopReading)
 	defer stop()
 	for {
 		received := b.takeBatch()
 		if err := from.read(received); err != nil {
-			if ctx.Err() != nil || from.isClosed() {
+			if ctx.Err() != nil || from.isStopped() {
 				return nil
 			}
 			continue
@@ -64,26 +64,34 @@
 		if !ok {
 			return nil
 		}
-		failed := ready.source.write(ctx, ready)
-		b.counters.sendFailed.Inc(int64(failed))
-		b.giveBack(ready)
+		b.send(ready)
 	}
 }
 
+func (b *Balancer) send(ready *batch) {
+	failed := ready.source.write(ready)
+	b.counters.sendFailed.Inc(int64(failed))
+	b.giveBack(ready)
+}
+
 func (b *Balancer) forwardAll(ctx context.Context) error {
 	for {
 		received, ok := b.inbound.Get(ctx)
 		if !ok {
 			return nil
 		}
-		out := b.takeBatch()
-		out.source = b.fabric
-		for i := range received.count {
-			b.forward(received.source, received.datagram(i), received.sender(i), out)
-		}
-		b.giveBack(received)
-		b.put(b.toAgents, out)
+		b.forwardBatch(received)
+	}
+}
+
+func (b *Balancer) forwardBatch(received *batch) {
+	out := b.takeBatch()
+	out.source = b.fabric
+	for i := range received.count {
+		b.forward(received.source, received.datagram(i), received.sender(i), out)
 	}
+	b.giveBack(received)
+	b.put(b.toAgents, out)
 }
 
 // put passes a batch on, or drops and counts it when the ring is full.
@@ -145,7 +153,6 @@
 			return nil
 		}
 		b.returnBatch(received)
-		b.giveBack(received)
 	}
 }
 
@@ -171,5 +178,6 @@
 		out.source = through
 		out.add(append(out.next(), payload...), header.Caller)
 	}
+	b.giveBack(received)
 	b.put(b.toCallers, out)
 }
--- /dev/null
+++ b/internal/balancer/stop_test.go
@@ -0,0 +1,118 @@
+package balancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/connid"
+	"gentianswitch/internal/envelope"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/store"
+
+	"github.com/uber-go/tally/v4"
+)
+
+const stopTestBatches = 40
+
+// TestStopSendsWhatWasRead fills the first ring of each direction, as if the datagrams had been read just before the
+// stop, and runs a balancer whose context has already ended.
+func TestStopSendsWhatWasRead(t *testing.T) {
+	set, err := keys.NewSet([]keys.Key{{ID: 1}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := listenLoopback(t)
+	caller := listenLoopback(t)
+	b, err := New(Settings{Data: freeAddress(t), Control: freeAddress(t)}, set, nil, store.NewHTTP("127.0.0.1:1"),
+		events.NewDiscardLogger(), tally.NoopScope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := openListener(freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.listeners.add(front.bind, front)
+	fillInbound(t, b, front, addressOf(agent))
+	fillOutbound(b, front, addressOf(caller))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := b.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if n := countDatagrams(agent); n != stopTestBatches {
+		t.Errorf("the agent received %d of %d datagrams", n, stopTestBatches)
+	}
+	if n := countDatagrams(caller); n != stopTestBatches {
+		t.Errorf("the caller received %d of %d datagrams", n, stopTestBatches)
+	}
+}
+
+func fillInbound(t *testing.T, b *Balancer, front *listener, agent netip.AddrPort) {
+	t.Helper()
+	id := b.codec.Load().Encode(connid.ID{Agent: agent, Service: 1, Class: class.Feed})
+	datagram := append([]byte{0x40}, id[:]...)
+	for range stopTestBatches {
+		received := newBatch()
+		received.source = front
+		received.add(append(received.next(), datagram...), addressOfLoopback)
+		received.messages[0].N = len(datagram)
+		b.inbound.TryPut(received)
+	}
+}
+
+func fillOutbound(b *Balancer, front *listener, caller netip.AddrPort) {
+	header := envelope.Header{Kind: envelope.Return, Caller: caller, Address: front.bind}
+	for range stopTestBatches {
+		received := newBatch()
+		sealed := envelope.Seal(received.next(), b.keys.Load(), header, []byte("answer"))
+		received.add(sealed, addressOfLoopback)
+		received.messages[0].N = len(sealed)
+		b.outbound.TryPut(received)
+	}
+}
+
+var addressOfLoopback = netip.MustParseAddrPort("127.0.0.1:9")
+
+func listenLoopback(t *testing.T) *net.UDPConn {
+	t.Helper()
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
+func addressOf(socket *net.UDPConn) netip.AddrPort {
+	a := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	return addressOf(socket)
+}
+
+// countDatagrams counts what waits in a socket. Loopback delivers before the write returns.
+func countDatagrams(socket *net.UDPConn) int {
+	buffer := make([]byte, bufferBytes)
+	count := 0
+	for {
+		_ = socket.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, _, err := socket.ReadFromUDPAddrPort(buffer); err != nil {
+			return count
+		}
+		count++
+	}
+}
