Prove that feeds outlive balancers, drains and faults of the fabric

Feeds whose callers only listen stay whole, and new flows are served, through: each balancer restarted in turn, all balancers replaced at once, two balancers killed without warning, two targets drained, loss of 5 %, reordering, duplication, a path cut of 2 s.

--- /dev/null
+++ b/integration/flows_test.go
@@ -0,0 +1,94 @@
+package integration
+
+import (
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/standin/fabric"
+)
+
+var _ = Describe("Open feeds and new flows", func() {
+	const (
+		feedCount  = 30
+		feedEvents = 60
+	)
+	var e *emulator.Emulator
+	BeforeEach(func() { e = start(small()) })
+
+	It("survive a restart of each balancer in turn", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		fresh := startArrivals(e)
+		for _, b := range e.Balancers {
+			Expect(b.Restart(stopLimit)).To(Succeed())
+			Expect(e.AwaitBalancer(b)).To(Succeed())
+		}
+		fresh.expectServed()
+		open.expectWhole()
+	})
+
+	It("survive the replacement of all balancers at once", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		fresh := startArrivals(e)
+		for _, b := range e.Balancers {
+			Expect(b.Signal(syscall.SIGTERM)).To(Succeed())
+		}
+		for _, b := range e.Balancers {
+			Expect(b.Wait(stopLimit)).To(Succeed())
+			Expect(b.Start()).To(Succeed())
+		}
+		Expect(e.AwaitBalancers()).To(Succeed())
+		fresh.expectServed()
+		open.expectWhole()
+	})
+
+	It("survive two balancers killed without warning", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		time.Sleep(1500 * time.Millisecond)
+		for _, b := range e.Balancers[:2] {
+			Expect(b.Kill()).To(Succeed())
+		}
+		open.expectWhole()
+	})
+
+	It("survive the drain of two targets, whose agents end by themselves", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		fresh := startArrivals(e)
+		leaving := e.Agents[:2]
+		for _, a := range leaving {
+			Expect(a.Signal(syscall.SIGTERM)).To(Succeed())
+		}
+		open.expectWhole()
+		fresh.expectServed()
+		for _, a := range leaving {
+			Expect(a.Wait(stopLimit)).To(Succeed())
+			Expect(a.ExitCode()).To(BeZero())
+		}
+	})
+
+	DescribeTable("survive faults of the fabric", func(faults fabric.Faults) {
+		Expect(e.SetFabricFaults(faults)).To(Succeed())
+		open := openFeeds(e, feedCount, feedEvents)
+		fresh := startArrivals(e)
+		open.expectWhole()
+		fresh.expectServed()
+	},
+		Entry("loss of 5 %", fabric.Faults{Loss: 0.05}),
+		Entry("reordering of 20 %", fabric.Faults{Reorder: 0.2}),
+		Entry("duplication of 20 %", fabric.Faults{Duplicate: 0.2}),
+		Entry("all three", fabric.Faults{Loss: 0.05, Reorder: 0.2, Duplicate: 0.2}),
+	)
+
+	It("survive a path cut of 2 s", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		fresh := startArrivals(e)
+		Expect(e.SetFabricFaults(fabric.Faults{Cut: true})).To(Succeed())
+		time.Sleep(2 * time.Second)
+		Expect(e.SetFabricFaults(fabric.Faults{})).To(Succeed())
+		fresh.expectServed()
+		open.expectWhole()
+	})
+})
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,10 +21,7 @@
 		return callers.Result{Outcome: callers.Unreachable, Err: err}
 	}
 	defer caller.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	request.Address = e.Address(port)
-	return caller.Do(ctx, request)
+	return do(e, caller, port, request)
 }
 
 var _ = Describe("The whole path", func() {
--- /dev/null
+++ b/integration/traffic_test.go
@@ -0,0 +1,144 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/standin/callers"
+	"gentianswitch/internal/standin/certificates"
+)
+
+const (
+	eventInterval = 100 * time.Millisecond
+	stopLimit     = 20 * time.Second
+	openLimit     = 10 * time.Second
+)
+
+// feeds are open feeds, each with a caller of its own.
+type feeds struct {
+	count   int
+	opened  atomic.Int64
+	results chan callers.Result
+}
+
+// openFeeds opens feeds of the given number of events and waits until each has received one. Their callers only
+// listen: they send nothing but acknowledgements of what they receive.
+func openFeeds(e *emulator.Emulator, count, events int) *feeds {
+	GinkgoHelper()
+	f := &feeds{count: count, results: make(chan callers.Result, count)}
+	for i := range count {
+		request := callers.Request{
+			ID: fmt.Sprintf("feed-%d", i), Class: class.Feed, Events: events, Interval: eventInterval,
+			OnEvent: f.countFirst,
+		}
+		caller := newCaller(e, emulator.PortFeed)
+		caller.ListenOnly()
+		go func() { f.results <- do(e, caller, emulator.PortFeed, request) }()
+	}
+	Eventually(f.opened.Load, openLimit).Should(BeEquivalentTo(count), "feeds opened")
+	return f
+}
+
+func (f *feeds) countFirst(events int) {
+	if events == 1 {
+		f.opened.Add(1)
+	}
+}
+
+// expectWhole waits for the end of the feeds and checks that each received every event.
+func (f *feeds) expectWhole() {
+	GinkgoHelper()
+	var broken []string
+	for range f.count {
+		if r := <-f.results; r.Outcome != callers.Done {
+			broken = append(broken, fmt.Sprintf("%s: %s after %d events: %v", r.Request, r.Outcome, r.Events, r.Err))
+		}
+	}
+	Expect(broken).To(BeEmpty(), "%d of %d feeds broken", len(broken), f.count)
+}
+
+// arrivals sends short requests at a steady rate, each on a flow of its own.
+type arrivals struct {
+	stop    context.CancelFunc
+	results chan callers.Result
+	ended   chan []callers.Result
+}
+
+const arrivalInterval = 100 * time.Millisecond
+
+func startArrivals(e *emulator.Emulator) *arrivals {
+	ctx, stop := context.WithCancel(context.Background())
+	a := &arrivals{stop: stop, results: make(chan callers.Result), ended: make(chan []callers.Result, 1)}
+	go a.send(ctx, e)
+	return a
+}
+
+func (a *arrivals) send(ctx context.Context, e *emulator.Emulator) {
+	ticker := time.NewTicker(arrivalInterval)
+	defer ticker.Stop()
+	sent := 0
+	for ctx.Err() == nil {
+		request := callers.Request{
+			ID: fmt.Sprintf("arrival-%d", sent), Class: class.Short, Work: time.Millisecond, Body: []byte("notice"),
+		}
+		go func() { a.results <- call(e, emulator.PortShort, request) }()
+		sent++
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	all := make([]callers.Result, 0, sent)
+	for range sent {
+		all = append(all, <-a.results)
+	}
+	a.ended <- all
+}
+
+// expectServed ends the arrivals and checks that each was answered whole.
+func (a *arrivals) expectServed() {
+	GinkgoHelper()
+	a.stop()
+	all := <-a.ended
+	var failed []string
+	for _, r := range all {
+		if r.Outcome != callers.Done {
+			failed = append(failed, fmt.Sprintf("%s: %s status %d: %v", r.Request, r.Outcome, r.Status, r.Err))
+		}
+	}
+	Expect(all).NotTo(BeEmpty())
+	Expect(failed).To(BeEmpty(), "%d of %d new flows were not served", len(failed), len(all))
+}
+
+// do sends a request of a caller to the route on the given port.
+func do(e *emulator.Emulator, caller *callers.Caller, port uint16, request callers.Request) callers.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request.Address = e.Address(port)
+	return caller.Do(ctx, request)
+}
+
+// newCaller returns a caller for the route on the given port that lives until the end of the spec.
+func newCaller(e *emulator.Emulator, port uint16) *callers.Caller {
+	GinkgoHelper()
+	caller, err := callers.New(e.File(certificates.AuthorityFile), e.Deployment.PoolOf(port).Name)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(caller.Close)
+	return caller
+}
+
+// small is a deployment with few processes: 3 balancers, 3 targets of one service and 2 of another.
+func small() emulator.Deployment {
+	d := emulator.Sierra()
+	d.Name = "small"
+	d.Pools[0].Hosts = 3
+	d.Pools[1].Hosts = 2
+	return d
+}
--- a/internal/standin/callers/caller.go
+++ b/internal/standin/callers/caller.go
@@ -108,6 +108,12 @@
 	return c.quic.DialEarly(ctx, to, tlsConfig, config)
 }
 
+// ListenOnly turns keep-alives off, so that a caller with an open feed sends nothing of its own accord. It has no
+// effect on connections that are already open.
+func (c *Caller) ListenOnly() {
+	c.transport.QUICConfig.KeepAlivePeriod = 0
+}
+
 // Close ends the caller's connections.
 func (c *Caller) Close() {
 	_ = c.transport.Close()
@@ -128,6 +134,8 @@
 	// Events and Interval describe a feed.
 	Events   int
 	Interval time.Duration
+	// OnEvent is called with the number of events received, after each event of a feed, when it is not nil.
+	OnEvent func(events int)
 	// IdempotencyKey is sent when it is not empty.
 	IdempotencyKey string
 }
@@ -156,7 +164,7 @@
 		return refusal(answer)
 	}
 	if r.Class == class.Feed {
-		return c.readFeed(answer.Body, r.Events)
+		return c.readFeed(answer.Body, r)
 	}
 	return c.readAnswer(answer.Body, r)
 }
@@ -186,6 +194,12 @@
 	return request, nil
 }
 
+func (r Request) notify(events int) {
+	if r.OnEvent != nil {
+		r.OnEvent(events)
+	}
+}
+
 func refusal(answer *http.Response) Result {
 	result := Result{Status: answer.StatusCode, Outcome: Unknown}
 	if answer.Header.Get(agent.HeaderOutcome) == agent.OutcomeNotRun {
@@ -198,7 +212,7 @@
 }
 
 // readFeed checks that the events are those of the service, numbered without a gap.
-func (c *Caller) readFeed(body io.Reader, events int) Result {
+func (c *Caller) readFeed(body io.Reader, r Request) Result {
 	result := Result{Status: http.StatusOK}
 	lines := bufio.NewScanner(body)
 	for lines.Scan() {
@@ -213,11 +227,12 @@
 				return result
 			}
 			result.Events++
+			r.notify(result.Events)
 		}
 	}
 	result.Err = lines.Err()
 	result.Outcome = Cut
-	if result.Err == nil && result.Events == events {
+	if result.Err == nil && result.Events == r.Events {
 		result.Outcome = Done
 	}
 	return result
