Bound the shape of a frame before it is decoded

Cause: a 24-byte frame that declares an array of 2^32-1 targets made the msgpack decoder allocate 515 GB and end the process (fatal error: runtime: out of memory). Four MiB of nested arrays took 1.8 s, and four MiB of empty maps decode to about 30 times their size. Bytes after the value were accepted. Ruled out: the decoder's own allocation limit. Change: checkShape walks the body once with msgp: at most 262,144 elements an array or map, 32 levels, no trailing bytes. Proof: TestReadRefuses ended the test process by the allocation above before the change, passes after it; the cases of depth, size and trailing bytes gave <nil> with the check switched off.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		return eris.Wrap(err, "read frame body")
 	}
+	if err := checkShape(body); err != nil {
+		return eris.Wrap(err, "decode frame")
+	}
 	return eris.Wrap(msgpack.Unmarshal(body, value), "decode frame")
 }
 
--- /dev/null
+++ b/internal/frame/shape.go
@@ -0,0 +1,55 @@
+package frame
+
+import (
+	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// Limits of the value in a frame. The decoder allocates whole arrays by their declared length and recurses into nested
+// values, so both are bounded before it runs.
+const (
+	maxElements = 1 << 18
+	maxDepth    = 32
+)
+
+// Errors of checkShape.
+var (
+	errDepth    = eris.Errorf("value is nested deeper than %d", maxDepth)
+	errElements = eris.Errorf("array or map has more than %d elements", maxElements)
+	errTrailing = eris.New("bytes follow the value")
+)
+
+// checkShape reports whether body is one whole msgpack value within the limits.
+func checkShape(body []byte) error {
+	rest, err := skip(body, 0)
+	if err == nil && len(rest) > 0 {
+		return errTrailing
+	}
+	return err
+}
+
+// skip returns what follows the first value of body.
+func skip(body []byte, depth int) ([]byte, error) {
+	if depth > maxDepth {
+		return nil, errDepth
+	}
+	var count uint32
+	var err error
+	valuesPerElement := uint32(1)
+	switch msgp.NextType(body) {
+	case msgp.ArrayType:
+		count, body, err = msgp.ReadArrayHeaderBytes(body)
+	case msgp.MapType:
+		count, body, err = msgp.ReadMapHeaderBytes(body)
+		valuesPerElement = 2
+	default:
+		return msgp.Skip(body)
+	}
+	if count > maxElements {
+		return nil, errElements
+	}
+	for i := uint32(0); i < count*valuesPerElement && err == nil; i++ {
+		body, err = skip(body, depth+1)
+	}
+	return body, err
+}
