Require the current key and one document in a key file

Cause: a key file without the field current silently chose key 0, and a second YAML document was ignored. Proof: TestLoad, cases 'no current key' and 'second document', failed before the change ('current key id 0 is not in the list of keys'; <nil>).

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/hex"
+	"errors"
+	"io"
 	"os"
 
 	"github.com/rotisserie/eris"
@@ -69,34 +71,45 @@
 }
 
 type rawFile struct {
-	Current uint8    `yaml:"current"`
+	Current *uint8   `yaml:"current"`
 	Keys    []rawKey `yaml:"keys"`
 }
 
-// Load reads a key file: YAML with the field current and a list keys of id (0 to 255) and secret
-// (32 hexadecimal digits).
+// Load reads a key file. Errors name the file.
 func Load(path string) (*Set, error) {
-	raw, err := os.Open(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "open key file")
 	}
-	defer func() { _ = raw.Close() }()
+	defer func() { _ = file.Close() }()
+	set, err := Parse(file)
+	return set, eris.Wrapf(err, "parse key file %s", path)
+}
+
+// Parse reads one YAML document with the field current and a list keys of id (0 to 255) and secret
+// (32 hexadecimal digits).
+func Parse(r io.Reader) (*Set, error) {
 	var file rawFile
-	decoder := yaml.NewDecoder(raw)
+	decoder := yaml.NewDecoder(r)
 	decoder.KnownFields(true)
 	if err := decoder.Decode(&file); err != nil {
-		return nil, eris.Wrapf(err, "parse key file %s", path)
+		return nil, err
+	}
+	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		return nil, eris.New("more than one YAML document, expected one YAML document")
+	}
+	if file.Current == nil {
+		return nil, eris.New("field current: missing, expected the id of the key for new output")
 	}
 	list := make([]Key, 0, len(file.Keys))
 	for _, r := range file.Keys {
 		k, err := parseKey(r)
 		if err != nil {
-			return nil, eris.Wrapf(err, "key file %s", path)
+			return nil, err
 		}
 		list = append(list, k)
 	}
-	set, err := NewSet(list, file.Current)
-	return set, eris.Wrapf(err, "key file %s", path)
+	return NewSet(list, *file.Current)
 }
 
 func parseKey(r rawKey) (Key, error) {
