--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 FUZZTIME ?= 20s
 FUZZ_TARGETS := connid:FuzzDecode packet:FuzzParse envelope:FuzzOpen keys:FuzzParse frame:FuzzRead
 
-.PHONY: build test race lint format fuzz
+.PHONY: build test race lint format docs fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -37,3 +37,6 @@
 
 format:
 	gofmt -w cmd internal integration
+
+docs:
+	go test ./internal/events -run TestEventsPageIsCurrent -update-events
