--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -60,6 +60,9 @@
 			err = eris.Errorf("malformed msgpack: %v", cause)
 		}
 	}()
+	if err := checkShape(raw); err != nil {
+		return err
+	}
 	return eris.Wrap(msgpack.Unmarshal(raw, value), "malformed msgpack")
 }
 
