Check tables with the line, the field and what was expected, all faults at once

Cause: the parser took unknown addresses, negative limits, duplicate names, addresses and service numbers, and stopped at the first fault without a line. Change: a parser over YAML nodes; InvalidError lists every Problem. A syntax fault has the line that the YAML library reports, which may be one or two before the fault.

--- a/cmd/gentianctl/main.go
+++ b/cmd/gentianctl/main.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"gentianswitch/internal/program"
+	"gentianswitch/internal/revision"
 	"gentianswitch/internal/store"
 	"gentianswitch/internal/tables"
 )
@@ -55,11 +56,11 @@
 		return err
 	}
 	kv := store.NewHTTP(address)
-	head, err := kv.Get(ctx, tables.HeadKey)
+	head, err := kv.Get(ctx, revision.HeadKey)
 	if err != nil && !eris.Is(err, store.ErrNotFound) {
 		return err
 	}
-	version, err := kv.CompareAndSwap(ctx, tables.HeadKey, head.Version, raw, 0)
+	version, err := kv.CompareAndSwap(ctx, revision.HeadKey, head.Version, raw, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/balancer/configuration.go
+++ b/internal/balancer/configuration.go
@@ -20,7 +20,7 @@
 func (b *Balancer) watchStore(ctx context.Context) error {
 	var after store.Version
 	for ctx.Err() == nil {
-		entry, err := b.store.Watch(ctx, tables.HeadKey, after, watchWait)
+		entry, err := b.store.Watch(ctx, revision.HeadKey, after, watchWait)
 		if err != nil {
 			b.storeFailed(ctx, err)
 			continue
--- a/internal/tables/parse.go
+++ b/internal/tables/parse.go
@@ -2,18 +2,18 @@
 
 import (
 	"bytes"
-	"net/netip"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.yaml.in/yaml/v3"
-
-	"gentianswitch/internal/class"
 )
 
-// HeadKey is the key of the head of the configuration in the store.
-const HeadKey = "gentianswitch/head"
-
 // Defaults of a pool's policy.
 const (
 	DefaultShortReserve = 1
@@ -21,76 +21,158 @@
 	DefaultDeadline     = 10 * time.Second
 )
 
-type rawRoute struct {
-	Name    string `yaml:"name"`
-	Address string `yaml:"address"`
-	Pool    string `yaml:"pool"`
-	Class   string `yaml:"class"`
+// Parse reads tables from YAML and checks them. The error is an *InvalidError.
+func Parse(raw []byte) (*Tables, error) {
+	return ParseFile("tables", raw)
 }
 
-type rawPool struct {
-	Name            string         `yaml:"name"`
-	Service         uint16         `yaml:"service"`
-	ShortReserve    *int           `yaml:"short_reserve"`
-	QueueLimit      *int           `yaml:"queue_limit"`
-	DefaultDeadline *time.Duration `yaml:"default_deadline"`
+// ParseFile is Parse with the name of the file for the problems.
+func ParseFile(file string, raw []byte) (*Tables, error) {
+	p := &parser{file: file}
+	t := p.document(raw)
+	if len(p.problems) > 0 {
+		slices.SortStableFunc(p.problems, func(a, b Problem) int { return a.Line - b.Line })
+		return nil, &InvalidError{Problems: p.problems}
+	}
+	return t, nil
 }
 
-type rawTables struct {
-	Routes []rawRoute `yaml:"routes"`
-	Pools  []rawPool  `yaml:"pools"`
+// parser collects the problems of one file.
+type parser struct {
+	file     string
+	problems []Problem
 }
 
-// Parse reads tables from YAML and checks them.
-func Parse(raw []byte) (*Tables, error) {
-	var file rawTables
+func (p *parser) report(line int, field, found, expected string) {
+	p.problems = append(p.problems, Problem{File: p.file, Line: line, Field: field, Found: found, Expected: expected})
+}
+
+var yamlLine = regexp.MustCompile(`^yaml: line (\d+): `)
+
+func (p *parser) reportSyntax(err error) {
+	text, line := err.Error(), 0
+	if match := yamlLine.FindStringSubmatch(text); match != nil {
+		line, _ = strconv.Atoi(match[1])
+		text = strings.TrimPrefix(text, match[0])
+	}
+	p.report(line, "", strings.TrimPrefix(text, "yaml: "), "one YAML document")
+}
+
+func (p *parser) document(raw []byte) *Tables {
 	decoder := yaml.NewDecoder(bytes.NewReader(raw))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(&file); err != nil {
-		return nil, eris.Wrap(err, "parse tables")
+	var document, more yaml.Node
+	if err := decoder.Decode(&document); err != nil {
+		if err == io.EOF {
+			err = eris.New("the file is empty")
+		}
+		p.reportSyntax(err)
+		return nil
 	}
-	t := &Tables{}
-	for _, r := range file.Pools {
-		t.Pools = append(t.Pools, r.checked())
+	if err := decoder.Decode(&more); err != io.EOF {
+		p.report(more.Line, "", "a second document", "one YAML document")
+		return nil
 	}
-	for _, r := range file.Routes {
-		checked, err := r.checked()
-		if err != nil {
-			return nil, eris.Wrapf(err, "route %s", r.Name)
-		}
-		if t.PoolByName(checked.Pool) == nil {
-			return nil, eris.Errorf("route %s: pool %q is not declared", r.Name, r.Pool)
+	return p.tables(document.Content[0])
+}
+
+func (p *parser) tables(root *yaml.Node) *Tables {
+	t := &Tables{}
+	places := newPlaces()
+	p.fields(root, "", []field{
+		{name: "routes", isRequired: true, read: func(n *yaml.Node, path string) {
+			p.rows(n, path, func(row *yaml.Node, path string) { t.Routes = append(t.Routes, p.route(row, path, places)) })
+		}},
+		{name: "pools", isRequired: true, read: func(n *yaml.Node, path string) {
+			p.rows(n, path, func(row *yaml.Node, path string) { t.Pools = append(t.Pools, p.pool(row, path, places)) })
+		}},
+	})
+	p.references(t, places)
+	return t
+}
+
+// references checks that the pools of the routes exist.
+func (p *parser) references(t *Tables, places *places) {
+	for i, r := range t.Routes {
+		if r.Pool == "" || t.PoolByName(r.Pool) != nil {
+			continue
 		}
-		t.Routes = append(t.Routes, checked)
+		path := fmt.Sprintf("routes[%d].pool", i)
+		p.report(places.pools[path], path, quote(r.Pool)+" is not declared", "the name of a pool in this file")
 	}
-	return t, nil
 }
 
-func (r rawPool) checked() Pool {
-	p := Pool{
-		Name: r.Name, Service: r.Service, ShortReserve: DefaultShortReserve,
-		QueueLimit: DefaultQueueLimit, DefaultDeadline: DefaultDeadline,
+func (p *parser) rows(list *yaml.Node, path string, read func(row *yaml.Node, path string)) {
+	if list.Kind == yaml.ScalarNode && list.Tag == "!!null" {
+		return
 	}
-	if r.ShortReserve != nil {
-		p.ShortReserve = *r.ShortReserve
+	if list.Kind != yaml.SequenceNode {
+		p.report(list.Line, path, describe(list), "a list of rows")
+		return
 	}
-	if r.QueueLimit != nil {
-		p.QueueLimit = *r.QueueLimit
+	for i, row := range list.Content {
+		read(row, fmt.Sprintf("%s[%d]", path, i))
 	}
-	if r.DefaultDeadline != nil {
-		p.DefaultDeadline = *r.DefaultDeadline
+}
+
+// field is one field that a mapping may have.
+type field struct {
+	name       string
+	isRequired bool
+	read       func(value *yaml.Node, path string)
+}
+
+// fields reads the fields of a mapping and reports those that are unknown, missing or given twice.
+func (p *parser) fields(mapping *yaml.Node, path string, known []field) {
+	if mapping.Kind != yaml.MappingNode {
+		p.report(mapping.Line, path, describe(mapping), "a mapping with the fields "+names(known))
+		return
 	}
-	return p
+	seen := make(map[string]int)
+	for i := 0; i+1 < len(mapping.Content); i += 2 {
+		key, value := mapping.Content[i], mapping.Content[i+1]
+		at := join(path, key.Value)
+		n := slices.IndexFunc(known, func(f field) bool { return f.name == key.Value })
+		switch first, isTwice := seen[key.Value]; {
+		case n < 0:
+			p.report(key.Line, at, "an unknown field", "one of "+names(known))
+		case isTwice:
+			p.report(key.Line, at, fmt.Sprintf("given on line %d already", first), "each field once")
+		default:
+			known[n].read(value, at)
+		}
+		seen[key.Value] = key.Line
+	}
+	for _, f := range known {
+		if _, ok := seen[f.name]; !ok && f.isRequired {
+			p.report(mapping.Line, join(path, f.name), "missing", "a value")
+		}
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
 }
 
-func (r rawRoute) checked() (Route, error) {
-	address, err := netip.ParseAddrPort(r.Address)
-	if err != nil {
-		return Route{}, eris.Wrap(err, "address")
+func names(fields []field) string {
+	list := make([]string, 0, len(fields))
+	for _, f := range fields {
+		list = append(list, f.name)
 	}
-	kind, err := class.Parse(r.Class)
-	if err != nil {
-		return Route{}, err
+	return strings.Join(list, ", ")
+}
+
+func describe(n *yaml.Node) string {
+	switch n.Kind {
+	case yaml.MappingNode:
+		return "a mapping"
+	case yaml.SequenceNode:
+		return "a list"
+	case yaml.AliasNode:
+		return "an alias"
+	default:
+		return quote(n.Value)
 	}
-	return Route{Name: r.Name, Address: address, Pool: r.Pool, Class: kind}, nil
 }
