Build gentianctl on package operator; let a few balancers read the log of the store

Interface points: control.DrainQuery asks an agent for progress; the emulator writes gentianctl.yaml and passes it on.

--- /dev/null
+++ b/cmd/gentianctl/flags.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/peterbourgon/ff/v3/ffyaml"
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/control"
+	"gentianswitch/internal/operator"
+	"gentianswitch/internal/settings"
+	"gentianswitch/internal/store"
+)
+
+const defaultTimeout = 10 * time.Second
+
+// errUsage marks errors of arguments and settings.
+var errUsage = eris.New("usage")
+
+// exitError ends the program with a code after its report has been written.
+type exitError operator.ExitCode
+
+// Error implements error.
+func (e exitError) Error() string {
+	return "exit"
+}
+
+// flags are the settings that the commands share.
+type flags struct {
+	set       *flag.FlagSet
+	store     string
+	balancers []netip.AddrPort
+	files     control.Files
+	output    string
+	timeout   time.Duration
+}
+
+func newFlags(command string) *flags {
+	f := &flags{set: flag.NewFlagSet(name+" "+command, flag.ContinueOnError)}
+	f.set.StringVar(&f.store, "store", "", "`host:port` of the platform's key-value service")
+	settings.AddrPortsVar(f.set, &f.balancers, "balancers", "control addresses of balancers; a few of each availability zone are enough")
+	f.set.StringVar(&f.files.Certificate, "certificate", "", "PEM `file` with the operator's certificate")
+	f.set.StringVar(&f.files.Key, "certificate-key", "", "PEM `file` with the private key of the certificate")
+	f.set.StringVar(&f.files.Authority, "authority", "", "PEM `file` with the authority of all certificates")
+	f.set.StringVar(&f.output, "o", operator.FormatText, "`format` of the output: text or json")
+	f.set.DurationVar(&f.timeout, "timeout", defaultTimeout, "time limit")
+	f.set.String("settings", "", "YAML `file` with settings; its fields have the names of the flags")
+	return f
+}
+
+// command returns a subcommand whose flags are read from the arguments, the environment and the settings file.
+func (f *flags) command(command, usage, short, example string, exec func(context.Context, []string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name: command, ShortUsage: name + " " + command + " " + usage, ShortHelp: short, FlagSet: f.set,
+		LongHelp: "Example:\n  " + example,
+		Options: []ff.Option{
+			ff.WithEnvVarPrefix("GENTIAN"), ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ffyaml.Parser),
+		},
+		Exec: func(ctx context.Context, args []string) error {
+			if f.output != operator.FormatText && f.output != operator.FormatJSON {
+				return eris.Wrapf(errUsage, "-o %q, expected text or json", f.output)
+			}
+			return exec(ctx, args)
+		},
+	}
+}
+
+// operator returns the operator that the settings describe.
+func (f *flags) operator(needsStore, needsBalancers bool) (*operator.Operator, error) {
+	if needsStore && f.store == "" {
+		return nil, eris.Wrap(errUsage, "setting store: missing, expected host:port")
+	}
+	if !needsBalancers {
+		return operator.New(store.NewHTTP(f.store), nil, nil), nil
+	}
+	if len(f.balancers) == 0 {
+		return nil, eris.Wrap(errUsage, "setting balancers: missing, expected at least one control address")
+	}
+	credentials, err := control.LoadCredentials(f.files)
+	if err != nil {
+		return nil, eris.Wrapf(errUsage, "%v", err)
+	}
+	return operator.New(store.NewHTTP(f.store), f.balancers, credentials), nil
+}
+
+// finish writes the report and turns the code into an error unless it is ExitDone.
+func (f *flags) finish(report operator.Report, code operator.ExitCode) error {
+	if err := operator.Write(os.Stdout, f.output, report); err != nil {
+		return err
+	}
+	if code != operator.ExitDone {
+		return exitError(code)
+	}
+	return nil
+}
--- a/cmd/gentianctl/main.go
+++ b/cmd/gentianctl/main.go
@@ -1,4 +1,4 @@
-// Command gentianctl is the operator's command line over the tables of routes and pools.
+// Command gentianctl is the operator's command line over the tables of routes and pools and over the targets.
 package main
 
 import (
@@ -10,60 +10,70 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
 
+	"gentianswitch/internal/operator"
 	"gentianswitch/internal/program"
-	"gentianswitch/internal/revision"
-	"gentianswitch/internal/store"
-	"gentianswitch/internal/tables"
 )
 
 const name = "gentianctl"
 
+const help = `Operators keep the tables of routes and pools in version control and put them in force with this command.
+
+  gentianctl validate --file tables.yaml
+  gentianctl plan --settings gentianctl.yaml --file tables.yaml
+  gentianctl apply --settings gentianctl.yaml --file tables.yaml --base 17 --wait
+
+Every flag is also an environment variable (GENTIAN_ and the name in capitals) and a field of the settings file.
+
+Exit codes:
+  0  done
+  1  failed; a change was not accepted and never takes effect
+  2  arguments, settings or tables are invalid; nothing was done
+  3  the outcome of a change is not known; repeat it with the same --change-id
+  4  refused, since another change is in the way; it never takes effect
+  5  under way, but not ended within the timeout`
+
 func main() {
-	os.Exit(run(os.Args[1:]))
+	graceful, _ := program.Stopping()
+	os.Exit(run(graceful, os.Args[1:]))
 }
 
-func run(args []string) int {
+func run(ctx context.Context, args []string) int {
+	rootFlags := flag.NewFlagSet(name, flag.ContinueOnError)
+	isVersion := rootFlags.Bool("version", false, "print the version and exit")
 	root := &ffcli.Command{
-		Name:        name,
-		ShortUsage:  name + " <apply> [flags]",
-		Subcommands: []*ffcli.Command{applyCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Name:       name,
+		ShortUsage: name + " <command> [flags]",
+		LongHelp:   help,
+		FlagSet:    rootFlags,
+		Subcommands: []*ffcli.Command{
+			validateCommand(), planCommand(), applyCommand(), getCommand(), historyCommand(), statusCommand(),
+			drainCommand(), undrainCommand(),
+		},
+		Exec: func(context.Context, []string) error {
+			if !*isVersion {
+				return flag.ErrHelp
+			}
+			fmt.Println(name, program.Version)
+			return nil
+		},
 	}
 	if err := root.Parse(args); err != nil {
 		return program.ReportUsage(name, err)
 	}
-	if err := root.Run(context.Background()); err != nil {
+	err := root.Run(ctx)
+	var code exitError
+	switch {
+	case err == nil:
+		return int(operator.ExitDone)
+	case eris.As(err, &code):
+		return int(code)
+	case eris.Is(err, flag.ErrHelp):
+		return int(operator.ExitUsage)
+	case eris.Is(err, errUsage):
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		return program.ExitFailed
-	}
-	return program.ExitOK
-}
-
-func applyCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
-	address := fs.String("store", "127.0.0.1:4390", "`host:port` of the platform's store")
-	file := fs.String("file", "", "YAML `file` with the tables")
-	return &ffcli.Command{Name: "apply", FlagSet: fs, ShortHelp: "put the tables in force",
-		Exec: func(ctx context.Context, _ []string) error { return apply(ctx, *address, *file) }}
-}
-
-func apply(ctx context.Context, address, file string) error {
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		return eris.Wrap(err, "read tables")
-	}
-	if _, err := tables.Parse(raw); err != nil {
-		return err
-	}
-	kv := store.NewHTTP(address)
-	head, err := kv.Get(ctx, revision.HeadKey)
-	if err != nil && !eris.Is(err, store.ErrNotFound) {
-		return err
-	}
-	version, err := kv.CompareAndSwap(ctx, revision.HeadKey, head.Version, raw, 0)
-	if err != nil {
-		return err
+		return int(operator.ExitUsage)
+	default:
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return int(operator.ExitFailed)
 	}
-	fmt.Println("accepted revision", version)
-	return nil
 }
--- a/internal/balancer/configuration.go
+++ b/internal/balancer/configuration.go
@@ -1,56 +1,16 @@
 package balancer
 
 import (
-	"context"
-	"time"
-
 	"gentianswitch/internal/control"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/revision"
-	"gentianswitch/internal/store"
-	"gentianswitch/internal/tables"
-)
-
-const (
-	watchWait  = 10 * time.Second
-	storeRetry = 500 * time.Millisecond
 )
 
-// watchStore follows the head of the configuration in the store.
-func (b *Balancer) watchStore(ctx context.Context) error {
-	var after store.Version
-	for ctx.Err() == nil {
-		entry, err := b.store.Watch(ctx, revision.HeadKey, after, watchWait)
-		if err != nil {
-			b.storeFailed(ctx, err)
-			continue
-		}
-		after = entry.Version
-		b.applyEntry(entry)
-	}
-	return nil
-}
-
-func (b *Balancer) storeFailed(ctx context.Context, err error) {
-	b.log.Emit(events.StoreUnavailable, events.F("step", "watch"), events.F("peer", b.settings.Store), events.Err(err))
-	select {
-	case <-ctx.Done():
-	case <-time.After(storeRetry):
-	}
-}
-
-func (b *Balancer) applyEntry(entry store.Entry) {
-	declared, err := tables.Parse(entry.Value)
-	if err != nil {
-		return
-	}
-	b.applyRevision(revision.Revision{
-		ID: revision.ID{Number: uint64(entry.Version)}, Rows: revision.AllRows(declared),
-	}, "store")
-}
+// sourceStore is the source of revisions that were read from the store.
+const sourceStore = "store"
 
-// applyRevision puts a revision in force if it is newer than the present one. The source, "store" or the address of
-// a peer, goes to the log.
+// applyRevision puts a revision in force if it is newer than the present one. The source, sourceStore or the
+// address of a peer, goes to the log.
 func (b *Balancer) applyRevision(r revision.Revision, source string) revision.Outcome {
 	b.applyMu.Lock()
 	defer b.applyMu.Unlock()
@@ -60,6 +20,7 @@
 	b.state.mu.Unlock()
 	switch outcome {
 	case revision.Applied:
+		b.counters.revision.Update(float64(r.ID.Number))
 		b.rebuild()
 		b.openListeners(declared)
 		b.log.Emit(events.RevisionApplied, events.F("revision", r.ID.Number), events.F("change", r.ID.Change),
--- /dev/null
+++ b/internal/balancer/configuration_readers.go
@@ -0,0 +1,38 @@
+package balancer
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// storeReaders is the number of balancers of an availability zone that read the store.
+const storeReaders = 3
+
+// isStoreReader reports whether this balancer reads the store. A wrong view of the zone costs reads or a longer way by
+// the peers, never correctness.
+func (b *Balancer) isStoreReader() bool {
+	return isChosen(b.settings.Control, b.zoneBalancers(), storeReaders)
+}
+
+// zoneBalancers returns the control addresses of the live balancers of this availability zone.
+func (b *Balancer) zoneBalancers() []netip.AddrPort {
+	return nil
+}
+
+// isChosen reports whether self is among the count members with the highest rendezvous scores. It is also true when
+// fewer than count other members are known.
+func isChosen(self netip.AddrPort, members []netip.AddrPort, count int) bool {
+	own := readerScore(self)
+	above := 0
+	for _, m := range members {
+		if m != self && readerScore(m) > own {
+			above++
+		}
+	}
+	return above < count
+}
+
+func readerScore(member netip.AddrPort) uint64 {
+	return xxhash.Sum64String(member.String())
+}
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -14,6 +14,9 @@
 	oversized   tally.Counter
 	badEnvelope tally.Counter
 	noListener  tally.Counter
+	// storeFailed counts failed calls to the store, and revision is the number of the revision in force.
+	storeFailed tally.Counter
+	revision    tally.Gauge
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -23,6 +26,8 @@
 		oversized:   scope.Counter("dropped_oversized"),
 		badEnvelope: scope.Counter("dropped_bad_envelope"),
 		noListener:  scope.Counter("dropped_no_listener"),
+		storeFailed: scope.Counter("store_calls_failed"),
+		revision:    scope.Gauge("revision"),
 	}
 	for v := route.Verdict(0); v <= route.DropNoTarget; v++ {
 		c.verdicts = append(c.verdicts, scope.Tagged(map[string]string{"verdict": v.String()}).Counter("datagrams"))
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -40,6 +40,8 @@
 	DrainUndo DrainAction = 2
 	// DrainForce cuts the work in progress and ends the agent.
 	DrainForce DrainAction = 3
+	// DrainQuery asks for the DrainStatus and changes nothing.
+	DrainQuery DrainAction = 4
 )
 
 // DrainRequest asks an agent to change its lifecycle. The answer is a DrainStatus.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -53,6 +54,8 @@
 	block string
 	lock  net.Listener
 	seed  uint64
+	// operations counts the runs of gentianctl.
+	operations atomic.Int64
 }
 
 // New prepares a deployment whose programs are in the directory bin and whose files go to dir. Nothing runs yet.
@@ -67,6 +70,9 @@
 	if err := os.WriteFile(e.TablesFile(), []byte(deployment.Tables(e.ip(hostPlatform))), fileMode); err != nil {
 		return nil, eris.Wrap(err, "write tables")
 	}
+	if err := e.writeOperatorFile(); err != nil {
+		return nil, err
+	}
 	e.Store = e.process("store", e.ip(hostPlatform), "gentian-standin", "store", "--listen", e.StoreAddress())
 	e.Fabric = e.process("fabric", e.ip(hostPlatform), "gentian-standin", e.fabricArgs()...)
 	for i := range deployment.Balancers {
@@ -211,22 +217,6 @@
 	return e.AwaitBalancers()
 }
 
-// Control runs gentianctl with the given arguments and returns its output in the error when it fails.
-func (e *Emulator) Control(args ...string) error {
-	p := e.process("gentianctl", "", "gentianctl", args...)
-	if err := p.Start(); err != nil {
-		return err
-	}
-	if err := p.Wait(readyTimeout); err != nil {
-		return err
-	}
-	if p.ExitCode() != 0 {
-		output, _ := os.ReadFile(p.LogFile())
-		return eris.Errorf("gentianctl %s: exit code %d: %s", args[0], p.ExitCode(), output)
-	}
-	return nil
-}
-
 // TargetURL returns the base URL of the target on VM i.
 func (e *Emulator) TargetURL(i int) string {
 	return fmt.Sprintf("http://%s:%d", e.Targets[i].IP, portTarget)
--- /dev/null
+++ b/internal/operator/rows.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"gentianswitch/internal/revision"
+	"gentianswitch/internal/tables"
+)
+
+// Actions on rows.
+const (
+	actionAdd    = "add"
+	actionChange = "change"
+	actionPut    = "put"
+	actionDelete = "delete"
+)
+
+// RowChange is what becomes of one row.
+type RowChange struct {
+	// Action is add, change or delete, or put when the former row is not known.
+	Action string `json:"action"`
+	Table  string `json:"table"`
+	Name   string `json:"name"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// describeRows returns the rows for people. A nil base means that the former rows are not known.
+func describeRows(base *tables.Tables, rows []revision.Row) []RowChange {
+	before := make(map[revision.RowKey]string)
+	if base != nil {
+		for _, row := range revision.AllRows(base) {
+			before[row.Key()] = describeRow(row)
+		}
+	}
+	list := make([]RowChange, 0, len(rows))
+	for _, row := range rows {
+		c := RowChange{Table: row.Table.String(), Name: row.Name, Before: before[row.Key()], After: describeRow(row)}
+		switch {
+		case row.IsDelete():
+			c.Action = actionDelete
+		case base == nil:
+			c.Action = actionPut
+		case c.Before == "":
+			c.Action = actionAdd
+		default:
+			c.Action = actionChange
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+func describeRow(row revision.Row) string {
+	switch {
+	case row.Route != nil:
+		r := row.Route.Document()
+		return fmt.Sprintf("address: %s, pool: %s, class: %s", r.Address, r.Pool, r.Class)
+	case row.Pool != nil:
+		p := row.Pool.Document()
+		return fmt.Sprintf("service: %d, short_reserve: %d, queue_limit: %d, default_deadline: %s",
+			p.Service, p.ShortReserve, p.QueueLimit, p.DefaultDeadline)
+	default:
+		return ""
+	}
+}
+
+func writeRows(out *strings.Builder, rows []RowChange) {
+	signs := map[string]string{actionAdd: "+", actionChange: "~", actionPut: "=", actionDelete: "-"}
+	for _, r := range rows {
+		fmt.Fprintf(out, "%s %s %s\n", signs[r.Action], r.Table, r.Name)
+		if r.Before != "" {
+			fmt.Fprintf(out, "    - %s\n", r.Before)
+		}
+		if r.After != "" {
+			fmt.Fprintf(out, "    + %s\n", r.After)
+		}
+	}
+}
+
+// ChangeReport is one accepted change.
+type ChangeReport struct {
+	Revision uint64      `json:"revision"`
+	Change   string      `json:"change"`
+	Base     uint64      `json:"base"`
+	Author   string      `json:"author"`
+	At       time.Time   `json:"at"`
+	Rows     []RowChange `json:"rows"`
+	// IsOmitted tells that the log holds no rows, since the change was large.
+	IsOmitted bool `json:"omitted,omitempty"`
+}
+
+func describeEntries(entries []revision.Entry) []ChangeReport {
+	list := make([]ChangeReport, 0, len(entries))
+	for _, e := range entries {
+		list = append(list, ChangeReport{
+			Revision: e.ID.Number, Change: e.ID.Change, Base: e.Planned.Number, Author: e.Author, At: e.At,
+			Rows: describeRows(nil, e.Rows), IsOmitted: e.IsOmitted,
+		})
+	}
+	return list
+}
+
+func (c ChangeReport) line() string {
+	text := fmt.Sprintf("revision %d, change %s by %s at %s", c.Revision, c.Change, c.Author, c.At.Format(time.RFC3339))
+	if c.IsOmitted {
+		text += ", rows left out"
+	}
+	return text
+}
--- a/internal/revision/propose.go
+++ b/internal/revision/propose.go
@@ -23,9 +23,10 @@
 	Planned *uint64
 	// Desired are the tables that the operator wants.
 	Desired *tables.Tables
-	// Known is the newest revision that a balancer has in force, as whole tables. It replaces what the store holds
-	// when the store has come back older.
-	Known Revision
+	// Known is the newest revision that a balancer has in force. It replaces what the store holds when the store has
+	// come back older; FetchKnown then returns its whole tables.
+	Known      ID
+	FetchKnown func(ctx context.Context) (Revision, error)
 }
 
 // Verdict is the outcome of a proposal.
@@ -159,16 +160,20 @@
 func (a *attempt) read(ctx context.Context) (*View, error) {
 	view, err := a.log.Read(ctx)
 	known := a.proposal.Known
-	if view == nil || known.ID.Number < view.Head.ID.Number || known.ID.IsZero() {
+	if view == nil || known.Number < view.Head.ID.Number || known.IsZero() {
 		return view, err
 	}
-	if err == nil && known.ID.Number == view.Head.ID.Number {
+	if err == nil && known.Number == view.Head.ID.Number {
 		return view, nil
 	}
 	if err != nil && !eris.Is(err, ErrDamaged) {
 		return nil, err
 	}
-	return view.restored(known)
+	whole, err := a.proposal.FetchKnown(ctx)
+	if err != nil {
+		return nil, eris.Wrapf(err, "restore revision %s, which the store has lost", known)
+	}
+	return view.restored(whole)
 }
 
 // resolvePlanned finds the revision that the change was planned against. It reports false when the log has lost it.
--- a/internal/revision/propose_test.go
+++ b/internal/revision/propose_test.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"context"
 	"fmt"
 	"reflect"
 	"testing"
@@ -212,7 +213,8 @@
 			}
 			desired := drawTables(t, balancer.Tables())
 			p := proposal(round, nil, desired)
-			p.Known = balancer.Since(ID{})
+			p.Known = balancer.ID()
+			p.FetchKnown = func(context.Context) (Revision, error) { return balancer.Since(ID{}), nil }
 			before := balancer.ID()
 			run := newProposer(s, smallLimits, p)
 			runAll(t, s, calm, run)
--- a/internal/tables/format.go
+++ b/internal/tables/format.go
@@ -7,45 +7,61 @@
 	"go.yaml.in/yaml/v3"
 )
 
-type yamlRoute struct {
-	Name    string `yaml:"name"`
-	Address string `yaml:"address"`
-	Pool    string `yaml:"pool"`
-	Class   string `yaml:"class"`
+// Document is the form of tables in files and in the operator's output.
+type Document struct {
+	Routes []RouteDocument `yaml:"routes" json:"routes"`
+	Pools  []PoolDocument  `yaml:"pools" json:"pools"`
 }
 
-type yamlPool struct {
-	Name            string `yaml:"name"`
-	Service         uint16 `yaml:"service"`
-	ShortReserve    int    `yaml:"short_reserve"`
-	QueueLimit      int    `yaml:"queue_limit"`
-	DefaultDeadline string `yaml:"default_deadline"`
+// RouteDocument is one row of the routes.
+type RouteDocument struct {
+	Name    string `yaml:"name" json:"name"`
+	Address string `yaml:"address" json:"address"`
+	Pool    string `yaml:"pool" json:"pool"`
+	Class   string `yaml:"class" json:"class"`
 }
 
-type yamlTables struct {
-	Routes []yamlRoute `yaml:"routes"`
-	Pools  []yamlPool  `yaml:"pools"`
+// PoolDocument is one row of the pools.
+type PoolDocument struct {
+	Name            string `yaml:"name" json:"name"`
+	Service         uint16 `yaml:"service" json:"service"`
+	ShortReserve    int    `yaml:"short_reserve" json:"short_reserve"`
+	QueueLimit      int    `yaml:"queue_limit" json:"queue_limit"`
+	DefaultDeadline string `yaml:"default_deadline" json:"default_deadline"`
 }
 
-const indent = 2
+// Document returns the form of the route in files.
+func (r Route) Document() RouteDocument {
+	return RouteDocument{Name: r.Name, Address: r.Address.String(), Pool: r.Pool, Class: r.Class.String()}
+}
 
-// Format returns the tables as YAML that Parse reads back.
-func (t *Tables) Format() ([]byte, error) {
-	var file yamlTables
+// Document returns the form of the pool in files.
+func (p Pool) Document() PoolDocument {
+	return PoolDocument{
+		Name: p.Name, Service: p.Service, ShortReserve: p.ShortReserve, QueueLimit: p.QueueLimit,
+		DefaultDeadline: p.DefaultDeadline.String(),
+	}
+}
+
+// Document returns the form of the tables in files.
+func (t *Tables) Document() Document {
+	d := Document{Routes: []RouteDocument{}, Pools: []PoolDocument{}}
 	for _, r := range t.Routes {
-		file.Routes = append(file.Routes, yamlRoute{
-			Name: r.Name, Address: r.Address.String(), Pool: r.Pool, Class: r.Class.String(),
-		})
+		d.Routes = append(d.Routes, r.Document())
 	}
 	for _, p := range t.Pools {
-		file.Pools = append(file.Pools, yamlPool{
-			Name: p.Name, Service: p.Service, ShortReserve: p.ShortReserve, QueueLimit: p.QueueLimit,
-			DefaultDeadline: p.DefaultDeadline.String(),
-		})
+		d.Pools = append(d.Pools, p.Document())
 	}
+	return d
+}
+
+const indent = 2
+
+// Format returns the tables as YAML that Parse reads back.
+func (t *Tables) Format() ([]byte, error) {
 	var out bytes.Buffer
 	encoder := yaml.NewEncoder(&out)
 	encoder.SetIndent(indent)
-	err := encoder.Encode(file)
+	err := encoder.Encode(t.Document())
 	return out.Bytes(), eris.Wrap(err, "format tables")
 }
