Prove the configuration with the real programs and the store's faults

The stand-in gains the fault down_after_write; a watch on a service that is down now ends with 503 in place of 404, which told a balancer that the store had lost its head.

--- /dev/null
+++ b/integration/configuration_test.go
@@ -0,0 +1,221 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/operator"
+	"gentianswitch/internal/revision"
+	"gentianswitch/internal/standin/kv"
+)
+
+// inForceLimit is the stated bound from the acceptance of a change until it is in force on every balancer.
+const inForceLimit = 4 * time.Second
+
+// startSmall runs a deployment with three balancers in three availability zones and one target.
+func startSmall() *emulator.Emulator {
+	GinkgoHelper()
+	small := emulator.Sierra()
+	small.Pools = []emulator.Pool{{Name: "requests", Service: 1, Hosts: 1, Slots: 5}, {Name: "voice", Service: 2}}
+	return start(small)
+}
+
+func setStoreFaults(e *emulator.Emulator, faults kv.Faults) {
+	GinkgoHelper()
+	text, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(emulator.SetFaults(e.StoreFaultsURL(), string(text))).To(Succeed())
+}
+
+// writeTables writes the deployment's tables with the given queue limit of the pool requests.
+func writeTables(e *emulator.Emulator, queueLimit int) string {
+	GinkgoHelper()
+	ip, _, _ := strings.Cut(e.Address(emulator.PortFeed), ":")
+	text := strings.Replace(e.Deployment.Tables(ip), "service: 1\n",
+		fmt.Sprintf("service: 1\n    queue_limit: %d\n", queueLimit), 1)
+	file := e.File(fmt.Sprintf("tables-%d.yaml", queueLimit))
+	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	return file
+}
+
+// apply runs gentianctl apply and returns its report and exit code.
+func apply(e *emulator.Emulator, args ...string) (operator.ApplyReport, operator.ExitCode) {
+	GinkgoHelper()
+	answer, err := e.Operate(append([]string{"apply", "-o", "json"}, args...)...)
+	Expect(err).NotTo(HaveOccurred())
+	var report operator.ApplyReport
+	Expect(json.Unmarshal([]byte(answer.Output), &report)).To(Succeed(), answer.Output)
+	return report, operator.ExitCode(answer.Code)
+}
+
+// inForce returns the revisions in force on the balancers that run.
+func inForce(e *emulator.Emulator) []uint64 {
+	var list []uint64
+	for _, b := range e.Balancers {
+		if status, err := e.Status(b); err == nil {
+			list = append(list, status.Revision)
+		}
+	}
+	return list
+}
+
+func expectInForce(e *emulator.Emulator, number uint64) {
+	GinkgoHelper()
+	all := make([]uint64, len(e.Balancers))
+	for i := range all {
+		all[i] = number
+	}
+	Eventually(inForce, inForceLimit).WithArguments(e).Should(Equal(all))
+}
+
+// history returns the accepted changes in the store, the newest first.
+func history(e *emulator.Emulator) []operator.ChangeReport {
+	GinkgoHelper()
+	answer, err := e.Operate("history", "-o", "json")
+	Expect(err).NotTo(HaveOccurred())
+	var report operator.HistoryReport
+	Expect(json.Unmarshal([]byte(answer.Output), &report)).To(Succeed(), answer.Output)
+	return report.Changes
+}
+
+var _ = Describe("Configuration", func() {
+	It("is in force everywhere although the store goes down right after the accept", func() {
+		e := startSmall()
+		setStoreFaults(e, kv.Faults{DownAfterWrite: revision.HeadKey})
+		report, code := apply(e, "--file", writeTables(e, 11))
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		expectInForce(e, report.Revision)
+		setStoreFaults(e, kv.Faults{})
+		Consistently(inForce, time.Second).WithArguments(e).Should(HaveEach(report.Revision))
+	})
+
+	It("is in force everywhere in time while the store is slow", func() {
+		e := startSmall()
+		setStoreFaults(e, kv.Faults{DelayMS: 1000})
+		report, code := apply(e, "--file", writeTables(e, 12))
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		expectInForce(e, report.Revision)
+	})
+
+	It("says not accepted when the store is down, and changes nothing", func() {
+		e := startSmall()
+		setStoreFaults(e, kv.Faults{Down: true})
+		report, code := apply(e, "--file", writeTables(e, 13), "--timeout", "1s")
+		Expect(code).To(Equal(operator.ExitFailed), "%+v", report)
+		Expect(report.Outcome).To(Equal("not accepted"))
+		setStoreFaults(e, kv.Faults{})
+		Consistently(inForce, time.Second).WithArguments(e).Should(HaveEach(BeEquivalentTo(1)))
+		Expect(history(e)).To(HaveLen(1))
+	})
+
+	It("finds out that a change was accepted when the answer is lost", func() {
+		e := startSmall()
+		setStoreFaults(e, kv.Faults{LoseWriteAnswers: true})
+		report, code := apply(e, "--file", writeTables(e, 14), "--change-id", "lost-answer")
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		setStoreFaults(e, kv.Faults{})
+		Expect(history(e)).To(HaveLen(2))
+		expectInForce(e, report.Revision)
+	})
+
+	It("says unknown when answer and store are lost, and repeating is safe", func() {
+		e := startSmall()
+		file := writeTables(e, 15)
+		setStoreFaults(e, kv.Faults{LoseWriteAnswers: true, DownAfterWrite: revision.HeadKey})
+		report, code := apply(e, "--file", file, "--change-id", "repeated", "--timeout", "2s")
+		Expect(code).To(Equal(operator.ExitUnknown), "%+v", report)
+		Expect(report.Repeat).To(ContainSubstring("--change-id repeated --base 1"))
+		setStoreFaults(e, kv.Faults{})
+		for range 2 {
+			report, code = apply(e, "--file", file, "--change-id", "repeated", "--base", "1")
+			Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+			Expect(report.Revision).To(BeEquivalentTo(2))
+		}
+		Expect(history(e)).To(HaveLen(2))
+		expectInForce(e, 2)
+	})
+
+	It("accepts one of two racing operators and shows the other why", func() {
+		e := startSmall()
+		const rounds = 5
+		for round := range rounds {
+			var reports [2]operator.ApplyReport
+			var codes [2]operator.ExitCode
+			var racers sync.WaitGroup
+			for i := range codes {
+				file := writeTables(e, 100+10*round+i)
+				racers.Go(func() {
+					defer GinkgoRecover()
+					reports[i], codes[i] = apply(e, "--file", file, "--base", fmt.Sprint(round+1))
+				})
+			}
+			racers.Wait()
+			Expect(codes[:]).To(ConsistOf(operator.ExitDone, operator.ExitRefused), "%+v", reports)
+			accepted, refused := reports[0], reports[1]
+			if codes[1] == operator.ExitDone {
+				accepted, refused = refused, accepted
+			}
+			Expect(refused.Others).To(HaveLen(1))
+			Expect(refused.Others[0].Change).To(Equal(accepted.Change))
+			Expect(refused.Others[0].Rows).To(HaveLen(1))
+			expectInForce(e, accepted.Revision)
+		}
+	})
+
+	It("reaches a balancer that was paused for longer than a lease", func() {
+		e := startSmall()
+		paused := e.Balancers[0]
+		Expect(paused.Signal(syscall.SIGSTOP)).To(Succeed())
+		report, code := apply(e, "--file", writeTables(e, 16), "--wait", "--timeout", "5s")
+		Expect(code).To(Equal(operator.ExitPending), "%+v", report)
+		Expect(report.Behind).To(HaveLen(1))
+		Expect(report.Behind[0].Addr().String()).To(Equal(paused.IP))
+		Expect(paused.Signal(syscall.SIGCONT)).To(Succeed())
+		expectInForce(e, report.Revision)
+	})
+
+	It("stays in force when the store comes back older, and the next change goes above it", func() {
+		e := startSmall()
+		apply(e, "--file", writeTables(e, 17))
+		report, code := apply(e, "--file", writeTables(e, 18), "--wait")
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		Expect(report.Revision).To(BeEquivalentTo(3))
+		setStoreFaults(e, kv.Faults{HeadVersion: 1})
+		Expect(history(e)).To(HaveLen(1))
+		Consistently(inForce, 2*time.Second).WithArguments(e).Should(HaveEach(BeEquivalentTo(3)))
+		file := writeTables(e, 18)
+		text, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		withRoute := strings.Replace(string(text), "pools:\n",
+			"  - name: added\n    address: "+e.Address(4434)+"\n    pool: voice\n    class: long\npools:\n", 1)
+		Expect(os.WriteFile(file, []byte(withRoute), 0o600)).To(Succeed())
+		report, code = apply(e, "--file", file, "--wait")
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		Expect(report.Revision).To(BeEquivalentTo(4))
+		Expect(report.IsRestored).To(BeTrue())
+		Expect(report.Rows).To(HaveLen(1), "only the new route differs from what was in force")
+		expectInForce(e, 4)
+	})
+
+	It("refuses invalid tables with exit code 2 and applies nothing", func() {
+		e := startSmall()
+		file := writeTables(e, -1)
+		for _, command := range []string{"validate", "plan", "apply"} {
+			answer, err := e.Operate(command, "--file", file)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Code).To(BeEquivalentTo(operator.ExitUsage))
+			Expect(answer.Output).To(ContainSubstring(`pools[0].queue_limit: "-1", expected a whole number from 0`))
+		}
+		Expect(inForce(e)).To(HaveEach(BeEquivalentTo(1)))
+		Expect(history(e)).To(HaveLen(1))
+	})
+})
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -25,6 +25,9 @@
 	DelayMS int `json:"delay_ms"`
 	// LoseWriteAnswers closes the connection of a write after it took effect.
 	LoseWriteAnswers bool `json:"lose_write_answers"`
+	// DownAfterWrite takes the service down as soon as a write of this key has taken effect. The writer still gets its
+	// answer, and watches end without the new value.
+	DownAfterWrite string `json:"down_after_write"`
 	// HeadVersion makes the service forget writes: keys with a higher version go back to it. Zero forgets nothing.
 	HeadVersion uint64 `json:"head_version"`
 }
@@ -124,33 +127,35 @@
 	after, _ := strconv.ParseUint(query.Get(store.QueryAfter), 10, 64)
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	entry, ok := s.await(ctx, keyOf(r), store.Version(after), wait > 0)
-	if !ok {
-		http.Error(w, "no such key", http.StatusNotFound)
+	entry, status := s.await(ctx, keyOf(r), store.Version(after), wait > 0)
+	if status != http.StatusOK {
+		http.Error(w, "no entry", status)
 		return
 	}
 	w.Header().Set(store.HeaderVersion, strconv.FormatUint(uint64(entry.Version), 10))
 	_, _ = w.Write(entry.Value)
 }
 
-// await returns the entry of a key, and for a watch waits until its version differs from after or the service is
-// taken down.
-func (s *Server) await(ctx context.Context, key string, after store.Version, isWatch bool) (store.Entry, bool) {
+// await returns the entry of a key and the status of the answer. For a watch it waits until the version differs from
+// after or the service is taken down.
+func (s *Server) await(ctx context.Context, key string, after store.Version, isWatch bool) (store.Entry, int) {
 	for {
 		s.mu.Lock()
 		s.expire(time.Now())
-		entry, changed, down := store.Entry{}, s.changed, s.faults.Down
-		r, ok := s.records[key]
-		if ok {
-			entry = r.entry
+		entry, status, changed := store.Entry{}, http.StatusNotFound, s.changed
+		if r, ok := s.records[key]; ok {
+			entry, status = r.entry, http.StatusOK
+		}
+		if s.faults.Down {
+			status = http.StatusServiceUnavailable
 		}
 		s.mu.Unlock()
-		if !isWatch || entry.Version != after || down {
-			return entry, ok && !down
+		if !isWatch || entry.Version != after || status == http.StatusServiceUnavailable {
+			return entry, status
 		}
 		select {
 		case <-ctx.Done():
-			return entry, ok
+			return entry, status
 		case <-changed:
 		}
 	}
@@ -196,6 +201,9 @@
 	r.lease = lease
 	r.history = append(r.history, r.entry)
 	s.records[key] = r
+	if key == s.faults.DownAfterWrite {
+		s.faults.Down = true
+	}
 	s.notify()
 	return r.entry.Version, true, s.faults.LoseWriteAnswers
 }
