Add examples of Sierra and Taiwan north, checked by a test

Three availability zones each, 7 and 3 targets with 5 and 3 slots, one settings file a VM. A balancer without the setting store is refused (cmd/gentian-balancer).

--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -32,7 +32,7 @@
 	fs.IntVar(&own.Connections, "connections", 2000, "`number` of flows that the agent accepts")
 	settings.AddrPortsVar(fs, &own.Balancers, "balancers", "control addresses of the balancers")
 	definePolicy(fs, &own)
-	err := settings.Parse(fs, args, name+" --settings examples/sierra/agent-requests.yaml", os.Stderr)
+	err := settings.Parse(fs, args, name+" --settings examples/sierra/agent-requests-1.yaml", os.Stderr)
 	if err != nil {
 		return program.ReportUsage(name, err)
 	}
--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"os"
 
+	"github.com/rotisserie/eris"
+
 	"gentianswitch/internal/balancer"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
@@ -29,7 +31,7 @@
 	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
 	fs.StringVar(&bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
 	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
-	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer.yaml", os.Stderr)
+	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer-quito.yaml", os.Stderr)
 	if err != nil {
 		return program.ReportUsage(name, err)
 	}
@@ -40,6 +42,9 @@
 	if err := common.Check(); err != nil {
 		return program.ReportUsage(name, err)
 	}
+	if own.Store == "" {
+		return program.ReportUsage(name, eris.New("setting store: missing, expected host:port"))
+	}
 	if bindIP != "" {
 		if own.BindIP, err = netip.ParseAddr(bindIP); err != nil {
 			return program.ReportUsage(name, err)
--- /dev/null
+++ b/integration/examples_test.go
@@ -0,0 +1,53 @@
+package integration
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/standin/certificates"
+)
+
+// checkArgs points the settings at throw-away keys and certificates, since the examples name those of a VM.
+func checkArgs(dir, settings string) []string {
+	return []string{
+		"--settings", settings, "--check",
+		"--keys", filepath.Join(dir, certificates.KeysFile),
+		"--certificate", filepath.Join(dir, certificates.CertificateFile),
+		"--certificate-key", filepath.Join(dir, certificates.KeyFile),
+		"--authority", filepath.Join(dir, certificates.AuthorityFile),
+	}
+}
+
+func expectSuccess(program string, args ...string) {
+	GinkgoHelper()
+	output, err := exec.Command(filepath.Join(bin, program), args...).CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), "%s %s: %s", program, strings.Join(args, " "), output)
+}
+
+var _ = Describe("Examples", func() {
+	for _, name := range []string{"sierra", "taiwan"} {
+		It("of "+name+" are valid and have the sizes of the deployment", func() {
+			dir := GinkgoT().TempDir()
+			Expect(certificates.Write(dir)).To(Succeed())
+			balancers, err := filepath.Glob(filepath.Join("..", "examples", name, "balancer-*.yaml"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(balancers).To(HaveLen(3))
+			for _, file := range balancers {
+				expectSuccess("gentian-balancer", checkArgs(dir, file)...)
+			}
+			agents, err := filepath.Glob(filepath.Join("..", "examples", name, "agent-*.yaml"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(agents).To(HaveLen(10))
+			for _, file := range agents {
+				expectSuccess("gentian-agent", checkArgs(dir, file)...)
+			}
+			operator := filepath.Join("..", "examples", name, "gentianctl.yaml")
+			tables := filepath.Join("..", "examples", name, "tables.yaml")
+			expectSuccess("gentianctl", "validate", "--settings", operator, "--file", tables)
+		})
+	}
+})
