--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -1,6 +1,9 @@
 package control
 
-import "gentianswitch/internal/member"
+import (
+	"gentianswitch/internal/member"
+	"gentianswitch/internal/revision"
+)
 
 // Hello is the first message in each direction of a connection between balancers.
 type Hello struct {
@@ -10,20 +13,10 @@
 // Gossip passes membership on between balancers. Every 500 ms at the latest one is sent as a heartbeat. Revision is the
 // configuration revision that the sender has in force.
 type Gossip struct {
-	Revision uint64        `msgpack:"revision"`
+	Revision revision.ID   `msgpack:"revision"`
 	Members  member.Gossip `msgpack:"members"`
 }
 
-// RevisionRequest asks a peer for the configuration that follows revision After. The answer is a RevisionReply.
-type RevisionRequest struct {
-	After uint64 `msgpack:"after"`
-}
-
-// RevisionReply carries configuration revisions in the encoding of package revision.
-type RevisionReply struct {
-	Body []byte `msgpack:"body"`
-}
-
 // AnnounceReply is a home balancer's answer to an Announce whenever its content has changed.
 type AnnounceReply struct {
 	// Homes are the balancers that the agent shall announce to.
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -3,8 +3,6 @@
 package control
 
 import (
-	"net/netip"
-
 	"gentianswitch/internal/member"
 )
 
@@ -16,6 +14,8 @@
 	Gossip          *Gossip          `msgpack:"gossip,omitempty"`
 	RevisionRequest *RevisionRequest `msgpack:"revision_request,omitempty"`
 	RevisionReply   *RevisionReply   `msgpack:"revision_reply,omitempty"`
+	RevisionOffer   *RevisionOffer   `msgpack:"revision_offer,omitempty"`
+	RevisionAck     *RevisionAck     `msgpack:"revision_ack,omitempty"`
 	StatusRequest   *StatusRequest   `msgpack:"status_request,omitempty"`
 	Status          *Status          `msgpack:"status,omitempty"`
 	DrainRequest    *DrainRequest    `msgpack:"drain_request,omitempty"`
@@ -29,17 +29,6 @@
 	IsLeaving bool `msgpack:"is_leaving,omitempty"`
 }
 
-// StatusRequest asks a balancer for its Status.
-type StatusRequest struct{}
-
-// Status is a balancer's view, for operators.
-type Status struct {
-	Balancer netip.AddrPort  `msgpack:"balancer" json:"balancer"`
-	Zone     string          `msgpack:"zone" json:"zone"`
-	Revision uint64          `msgpack:"revision" json:"revision"`
-	Targets  []member.Target `msgpack:"targets" json:"targets"`
-}
-
 // DrainAction is what an operator asks of an agent.
 type DrainAction uint8
 
