Carry membership between balancers over control connections

Cause: each agent announced itself to every balancer of its settings, and balancers knew nothing of each other, so one that started late or was cut from the store had no tables.

--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -28,6 +28,7 @@
 	common.Define(fs)
 	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
 	fs.StringVar(&bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
+	settings.AddrPortsVar(fs, &own.Peers, "peers", "control addresses of balancers from which this one learns the others")
 	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
 	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer.yaml", os.Stderr)
 	if err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,7 +38,7 @@
 	Slots int
 	// Connections is the number of flows that the agent accepts.
 	Connections int
-	// Balancers are the control addresses of the balancers to announce to.
+	// Balancers are the control addresses of balancers that tell the agent its homes.
 	Balancers []netip.AddrPort
 }
 
@@ -55,15 +55,17 @@
 	keys        atomic.Pointer[keys.Set]
 	codec       atomic.Pointer[connid.Codec]
 	incarnation uint64
-	lifecycle   *lifecycle
-	socket      *net.UDPConn
-	conns       map[class.Class]*virtualConn
-	servers     map[class.Class]*http3.Server
-	returns     *returns
-	outbound    *ring.Ring[outgoing]
-	counters    counters
-	target      *targetClient
-	group       *duty.Group
+	// announcedIncarnation is the incarnation, or more when the VM's former agent had a later clock.
+	announcedIncarnation atomic.Uint64
+	lifecycle            *lifecycle
+	socket               *net.UDPConn
+	conns                map[class.Class]*virtualConn
+	servers              map[class.Class]*http3.Server
+	returns              *returns
+	outbound             *ring.Ring[outgoing]
+	counters             counters
+	target               *targetClient
+	group                *duty.Group
 }
 
 // New returns an agent that is not yet running. The incarnation is taken from the time of the start.
@@ -84,6 +86,7 @@
 		conns:       make(map[class.Class]*virtualConn),
 		servers:     make(map[class.Class]*http3.Server),
 	}
+	a.announcedIncarnation.Store(a.incarnation)
 	return a, a.SetKeys(set)
 }
 
@@ -114,11 +117,7 @@
 			return err
 		}
 	}
-	for _, address := range a.settings.Balancers {
-		a.group.Go("announce to "+address.String(), func(ctx context.Context) error {
-			return a.announceTo(ctx, address)
-		})
-	}
+	a.group.Go("announce", newHomes(a, a.settings.Balancers).keep)
 	a.lifecycle.set(member.Ready)
 	select {
 	case <-ctx.Done():
@@ -137,7 +136,7 @@
 		Service:     a.settings.Service,
 		Zone:        a.settings.Zone,
 		Slots:       a.settings.Slots,
-		Incarnation: a.incarnation,
+		Incarnation: a.announcedIncarnation.Load(),
 		Sequence:    sequence,
 		State:       state,
 	}
--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -28,6 +28,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state = state
+	l.advance()
+}
+
+// touch announces the present state again, as a change.
+func (l *lifecycle) touch() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+}
+
+// advance counts a change and tells of it. The caller holds mu.
+func (l *lifecycle) advance() {
 	l.sequence++
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/keys"
+	"gentianswitch/internal/member"
 	"gentianswitch/internal/ring"
 	"gentianswitch/internal/route"
 	"gentianswitch/internal/store"
@@ -37,6 +38,10 @@
 	Networks []netip.Prefix
 	// Store is the address of the platform's store.
 	Store string
+	// Peers are the control addresses of balancers from which this one learns the others.
+	Peers []netip.AddrPort
+	// Detection is the strategy that decides when a target or a balancer has failed.
+	Detection member.Detection
 }
 
 const (
@@ -55,6 +60,7 @@
 	codec       atomic.Pointer[connid.Codec]
 	table       atomic.Pointer[route.Table]
 	state       *state
+	membership  *membership
 	rebuildMu   sync.Mutex
 	applyMu     sync.Mutex
 	fabric      *listener
@@ -88,6 +94,7 @@
 		counters:    newCounters(scope),
 	}
 	b.listeners = newListeners(settings.BindIP)
+	b.membership = newMembership(b, time.Now())
 	return b, b.SetKeys(set)
 }
 
@@ -122,14 +129,23 @@
 	if err != nil {
 		return eris.Wrap(err, "open control listener")
 	}
-	b.group = duty.NewGroup(ctx)
+	b.group = duty.NewGroup(context.WithoutCancel(ctx))
 	b.startPath()
 	b.group.Go("control", func(ctx context.Context) error {
 		return control.Serve(ctx, controlListener, b.credentials, b.serveControl)
 	})
 	b.group.Go("watch store", b.watchStore)
-	b.group.Go("expire targets", b.expireTargets)
+	b.group.Go("membership", b.membership.run)
 	b.group.Go("heartbeat", b.sendHeartbeats)
+	b.group.Go("stop", func(running context.Context) error {
+		select {
+		case <-ctx.Done():
+			b.leave(running)
+			b.group.Stop()
+		case <-running.Done():
+		}
+		return nil
+	})
 	err = b.group.Wait()
 	b.flush()
 	b.listeners.close()
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -4,24 +4,43 @@
 	"context"
 
 	"gentianswitch/internal/control"
+	"gentianswitch/internal/member"
 )
 
+// serveControl serves an accepted connection of an agent, of a peer or of gentianctl.
 func (b *Balancer) serveControl(ctx context.Context, conn *control.Conn) {
+	b.runSession(ctx, conn, func(s *session) { b.serveSession(ctx, s) })
+}
+
+func (b *Balancer) serveSession(ctx context.Context, s *session) {
 	for ctx.Err() == nil {
-		m, err := conn.Receive()
+		m, err := s.conn.Receive()
 		if err != nil {
 			return
 		}
-		if err := b.handle(conn, m); err != nil {
+		if m.Hello != nil {
+			b.welcome(ctx, s, m.Hello.Balancer)
+			return
+		}
+		if err := b.handle(s, m); err != nil {
 			return
 		}
 	}
 }
 
-func (b *Balancer) handle(conn *control.Conn, m control.Message) error {
+// welcome answers the Hello of a peer and serves its connection.
+func (b *Balancer) welcome(ctx context.Context, s *session, peer member.Balancer) {
+	if s.conn.Send(control.Message{Hello: &control.Hello{Balancer: b.membership.peers.self}}) == nil {
+		b.servePeer(ctx, s, peer, false)
+	}
+}
+
+func (b *Balancer) handle(s *session, m control.Message) error {
+	conn := s.conn
 	switch {
 	case m.Announce != nil:
-		b.announce(m.Announce.Target)
+		event := member.Announced{Target: m.Announce.Target, IsLeaving: m.Announce.IsLeaving}
+		b.membership.arrivals.Put(b.group.Context(), arrival{event: event, session: s})
 		return nil
 	case m.StatusRequest != nil:
 		return conn.Send(control.Message{Status: b.status()})
@@ -41,5 +60,6 @@
 	inForce := b.currentRevision()
 	return &control.Status{
 		Balancer: b.settings.Data, Zone: b.settings.Zone, Revision: inForce.Number, Change: inForce.Change, Targets: targets,
+		Balancers: b.state.liveBalancers(),
 	}
 }
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -2,52 +2,206 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"gentianswitch/internal/control"
 	"gentianswitch/internal/envelope"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/member"
+	"gentianswitch/internal/ring"
 )
 
 const (
-	targetTimeout  = 1500 * time.Millisecond
-	expireInterval = 250 * time.Millisecond
+	// arrivalCapacity is the number of control messages that may wait for the membership duty.
+	arrivalCapacity = 1024
+	// agentReplyInterval is the time between two replies to an agent, by which it knows that its home lives.
+	agentReplyInterval = time.Second
+	leaveTimeout       = 500 * time.Millisecond
 )
 
-func (b *Balancer) announce(target member.Target) {
-	if !b.state.announce(time.Now(), target) {
-		return
-	}
-	b.rebuild()
-	b.logTarget(target, "announced")
+// arrival is an input of the membership duty.
+type arrival struct {
+	// event goes to the state machine.
+	event member.Event
+	// session is the connection on which the event arose, or that has ended when event is nil.
+	session *session
+	// gossip is the message that event was made of, or nil.
+	gossip *control.Gossip
+	// isDialed is true when this balancer opened the connection.
+	isDialed bool
+	// done is closed once the arrival has been handled, or nil.
+	done chan<- struct{}
 }
 
-func (b *Balancer) logTarget(t member.Target, reason string) {
-	b.log.Emit(events.TargetChanged, events.F("agent", t.Agent.String()), events.F("service", t.Service),
-		events.F("zone", t.Zone), events.F("state", t.State.String()), events.F("incarnation", t.Incarnation),
-		events.F("reason", reason))
+// membership runs the state machine of package member. All fields belong to its duty but arrivals.
+type membership struct {
+	balancer *Balancer
+	machine  *member.Machine
+	arrivals *ring.Ring[arrival]
+	agents   map[netip.AddrPort]*session
+	agentOf  map[*session]netip.AddrPort
+	peers    *peers
+	// repliedAt is when the agents were last told that this balancer lives.
+	repliedAt time.Time
+	isChanged bool
 }
 
-func (b *Balancer) expireTargets(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
+func newMembership(b *Balancer, now time.Time) *membership {
+	self := member.Balancer{
+		Data: b.settings.Data, Control: b.settings.Control, Zone: b.settings.Zone,
+		Incarnation: uint64(now.UnixMicro()), State: member.Ready,
+	}
+	return &membership{
+		balancer: b,
+		machine:  member.New(member.Settings{Self: self, Detection: b.settings.Detection, Seed: self.Incarnation}),
+		arrivals: ring.New[arrival](arrivalCapacity),
+		agents:   make(map[netip.AddrPort]*session),
+		agentOf:  make(map[*session]netip.AddrPort),
+		peers:    newPeers(b, self),
+	}
+}
+
+// run feeds the state machine with arrivals and ticks until ctx ends.
+func (m *membership) run(ctx context.Context) error {
+	ticker := time.NewTicker(member.TickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case a := <-m.arrivals.Items():
+			m.take(a)
 		case now := <-ticker.C:
-			failed := b.state.expire(now, targetTimeout)
-			if len(failed) > 0 {
-				b.rebuild()
-			}
-			for _, t := range failed {
-				b.logTarget(t, "no heartbeat within the timeout")
-			}
+			m.tick(ctx, now)
+		}
+	}
+}
+
+func (m *membership) take(a arrival) {
+	now := time.Now()
+	switch e := a.event.(type) {
+	case nil:
+		m.end(now, a.session)
+	case member.Announced:
+		m.agents[e.Target.Agent] = a.session
+		e.IsFirst = m.agentOf[a.session] != e.Target.Agent
+		m.agentOf[a.session] = e.Target.Agent
+		m.handle(now, e)
+	case member.PeerJoined:
+		m.peers.add(e.Peer, a.session, a.isDialed)
+		m.handle(now, e)
+	case member.Received:
+		m.peers.learnRevision(a.session, a.gossip.Revision)
+		m.handle(now, e)
+	case member.Stopping:
+		m.handle(now, e)
+		m.peers.drain(now.Add(leaveTimeout))
+	default:
+		m.handle(now, e)
+	}
+	if a.done != nil {
+		close(a.done)
+	}
+}
+
+// end forgets a connection that has ended.
+func (m *membership) end(now time.Time, s *session) {
+	if agent, ok := m.agentOf[s]; ok {
+		delete(m.agentOf, s)
+		if m.agents[agent] == s {
+			delete(m.agents, agent)
+		}
+	}
+	if peer, isLast := m.peers.remove(s); isLast {
+		m.handle(now, member.PeerLeft{Peer: peer})
+	}
+}
+
+func (m *membership) tick(ctx context.Context, now time.Time) {
+	m.handle(now, member.Tick{})
+	m.peers.spreadRevision()
+	m.peers.connect(ctx, now, m.machine)
+	for _, peer := range m.peers.surplus(now) {
+		m.handle(now, member.PeerDropped{Peer: peer})
+		m.peers.drop(peer)
+	}
+	if now.Sub(m.repliedAt) >= agentReplyInterval {
+		m.repliedAt = now
+		for _, s := range m.agents {
+			s.send(control.Message{AnnounceReply: &control.AnnounceReply{}})
 		}
 	}
 }
 
-// sendHeartbeats tells every agent that this balancer carries returns.
+// handle gives an event to the state machine and carries out its actions.
+func (m *membership) handle(now time.Time, e member.Event) {
+	var changed []member.Target
+	for _, action := range m.machine.Handle(now, e) {
+		switch x := action.(type) {
+		case member.Send:
+			m.peers.send(x.To, x.Gossip)
+		case member.Reply:
+			m.reply(x)
+		case member.TargetChanged:
+			changed = append(changed, x.Target)
+			m.balancer.logTarget(x.Target, x.Reason.String())
+		case member.BalancerChanged:
+			m.isChanged = true
+			m.balancer.logBalancer(x)
+		case member.ZoneChanged:
+			m.balancer.log.Emit(events.ZoneChanged, events.F("zone", x.Zone), events.F("is_lost", x.IsLost),
+				events.F("subjects", x.Subjects))
+		}
+	}
+	if len(changed) > 0 {
+		m.balancer.state.setTargets(changed)
+		m.balancer.rebuild()
+	}
+	if len(changed) > 0 || m.isChanged {
+		m.isChanged = false
+		m.balancer.state.setMembers(m.machine.Balancers(), m.machine.ReturnTargets())
+	}
+}
+
+func (m *membership) reply(r member.Reply) {
+	if s := m.agents[r.Agent]; s != nil {
+		s.send(control.Message{AnnounceReply: &control.AnnounceReply{
+			Homes: r.Homes, Spares: r.Spares, Incarnation: r.Incarnation,
+		}})
+	}
+}
+
+// leave tells the peers that this balancer ends, and waits until that is sent.
+func (b *Balancer) leave(ctx context.Context) {
+	done := make(chan struct{})
+	ctx, cancel := context.WithTimeout(ctx, 2*leaveTimeout)
+	defer cancel()
+	if !b.membership.arrivals.Put(ctx, arrival{event: member.Stopping{}, done: done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (b *Balancer) logTarget(t member.Target, reason string) {
+	b.log.Emit(events.TargetChanged, events.F("agent", t.Agent.String()), events.F("service", t.Service),
+		events.F("zone", t.Zone), events.F("state", t.State.String()), events.F("incarnation", t.Incarnation),
+		events.F("reason", reason))
+}
+
+func (b *Balancer) logBalancer(c member.BalancerChanged) {
+	event := events.BalancerLost
+	if c.IsLive {
+		event = events.BalancerFound
+	}
+	b.log.Emit(event, events.F("balancer", c.Balancer.Data.String()), events.F("zone", c.Balancer.Zone),
+		events.F("state", c.Balancer.State.String()), events.F("incarnation", c.Balancer.Incarnation))
+}
+
+// sendHeartbeats tells agents that this balancer carries returns.
 func (b *Balancer) sendHeartbeats(ctx context.Context) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -62,20 +216,16 @@
 }
 
 func (b *Balancer) heartbeat() {
-	_, targets := b.state.view()
 	header := envelope.Header{Kind: envelope.Heartbeat, Balancer: b.settings.Data}
 	out := b.takeBatch()
 	out.source = b.fabric
-	for _, t := range targets {
-		if t.State == member.Failed || t.State == member.Gone {
-			continue
-		}
+	for _, agent := range b.state.returnTargets() {
 		if out.isFull() {
 			b.put(b.toAgents, out)
 			out = b.takeBatch()
 			out.source = b.fabric
 		}
-		out.add(envelope.Seal(out.next(), b.keys.Load(), header, nil), t.Agent)
+		out.add(envelope.Seal(out.next(), b.keys.Load(), header, nil), agent)
 	}
 	b.put(b.toAgents, out)
 }
--- a/internal/control/conn.go
+++ b/internal/control/conn.go
@@ -18,6 +18,9 @@
 	readTimeout  = 10 * time.Second
 )
 
+// ErrUnexpected is the error for a message that does not answer the one sent.
+var ErrUnexpected = eris.New("unexpected message")
+
 // Conn is a control connection. Send may be called from several goroutines, Receive from one.
 type Conn struct {
 	raw net.Conn
@@ -48,8 +51,13 @@
 
 // Receive reads the next message. It fails when none arrives within 10 s.
 func (c *Conn) Receive() (Message, error) {
+	return c.ReceiveWithin(readTimeout)
+}
+
+// ReceiveWithin reads the next message. It fails when none arrives within the given time.
+func (c *Conn) ReceiveWithin(limit time.Duration) (Message, error) {
 	var m Message
-	if err := c.raw.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+	if err := c.raw.SetReadDeadline(time.Now().Add(limit)); err != nil {
 		return m, eris.Wrapf(err, "receive from %s", c.Peer())
 	}
 	err := frame.Read(c.raw, &m)
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -18,6 +18,8 @@
 	Revision uint64          `msgpack:"revision" json:"revision"`
 	Change   string          `msgpack:"change" json:"change"`
 	Targets  []member.Target `msgpack:"targets" json:"targets"`
+	// Balancers are the live balancers, the one that answers included.
+	Balancers []member.Balancer `msgpack:"balancers" json:"balancers"`
 }
 
 // InForce returns the revision in force.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -142,7 +142,7 @@
 func (e *Emulator) balancer(i int) *Process {
 	ip := e.ip(hostFirstBalancer + i)
 	args := append(e.commonArgs(ip, e.zone(i)), "--store", e.StoreAddress(), "--bind-ip", ip,
-		"--agent-networks", e.block+".0/24")
+		"--agent-networks", e.block+".0/24", "--peers", strings.Join(e.ControlAddresses(), ","))
 	return e.process(fmt.Sprintf("balancer-%d", i), ip, "gentian-balancer", args...)
 }
 
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -232,7 +232,12 @@
 	return list
 }
 
-// Knows reports whether a balancer of the given address is known, live or not.
-func (m *Machine) Knows(balancer netip.AddrPort) bool {
-	return m.balancers[idOf(balancer)] != nil
+// HasControl reports whether a balancer with the given control address is known, live or not.
+func (m *Machine) HasControl(control netip.AddrPort) bool {
+	for _, e := range m.balancers {
+		if e.record.Control == control {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -19,14 +19,21 @@
 
 func (m *Machine) received(now time.Time, e Received) {
 	from := idOf(e.From)
-	if w := m.watches[from]; w != nil && !w.isTarget {
-		m.hear(now, *w)
-	}
 	m.merge(e.Gossip.Changes, from)
+	m.hearPeer(now, from)
 	m.evaluate(now)
 	m.exchange(from, e.Gossip)
 }
 
+// hearPeer records a heartbeat of a connected balancer.
+func (m *Machine) hearPeer(now time.Time, peer id) {
+	e := m.balancers[peer]
+	if e == nil || m.outboxes[peer] == nil {
+		return
+	}
+	m.hear(now, watch{id: peer, zone: e.record.Zone, incarnation: e.record.Incarnation})
+}
+
 // merge takes the records of a peer. What is new here is passed on to the other peers.
 func (m *Machine) merge(c Changes, from id) {
 	for _, b := range c.Balancers {
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -233,7 +233,7 @@
 		m.outboxes[peer] = &outbox{waiting: make(map[recordID]struct{})}
 	}
 	m.outboxes[peer].add(recordID{kind: kindBalancer, subject: m.selfID})
-	m.hear(now, watch{id: peer, zone: b.Zone, incarnation: b.Incarnation})
+	m.hearPeer(now, peer)
 	m.isLivenessStale = true
 	if m.lastDigest.IsZero() || now.Sub(m.lastDigest) >= HeartbeatInterval {
 		m.sendDigestTo(now, peer)
