Prove that hostile datagrams are counted and harm nothing

Garbage, forged and old connection IDs, forged envelopes, replayed and cut datagrams sent to the listeners and data sockets of balancers and to agents: each is counted in the metrics, no process ends, open feeds stay whole, new flows are served and a replayed request runs once. The specs passed when first run; the mechanisms (check fields, networks, authenticator, QUIC's own packet protection) were there before.

--- /dev/null
+++ b/integration/hostile_test.go
@@ -0,0 +1,225 @@
+package integration
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/connid"
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/envelope"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/standin/callers"
+	"gentianswitch/internal/standin/certificates"
+)
+
+const (
+	hostileSeed   = 7
+	shortHeader   = 0x40
+	longHeader    = 0xc0
+	datagramLimit = 1400
+	repeats       = 50
+)
+
+// recorder is a UDP relay between a caller and the fabric that keeps the caller's datagrams.
+type recorder struct {
+	front, back *net.UDPConn
+	mu          sync.Mutex
+	caller      netip.AddrPort
+	sent        [][]byte
+}
+
+func startRecorder(to string) *recorder {
+	GinkgoHelper()
+	address, err := net.ResolveUDPAddr("udp4", to)
+	Expect(err).NotTo(HaveOccurred())
+	front, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	back, err := net.DialUDP("udp4", nil, address)
+	Expect(err).NotTo(HaveOccurred())
+	r := &recorder{front: front, back: back}
+	DeferCleanup(func() {
+		_ = front.Close()
+		_ = back.Close()
+	})
+	go r.forward()
+	go r.giveBack()
+	return r
+}
+
+func (r *recorder) forward() {
+	buffer := make([]byte, 2048)
+	for {
+		n, caller, err := r.front.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.caller = caller
+		r.sent = append(r.sent, append([]byte(nil), buffer[:n]...))
+		r.mu.Unlock()
+		_, _ = r.back.Write(buffer[:n])
+	}
+}
+
+func (r *recorder) giveBack() {
+	buffer := make([]byte, 2048)
+	for {
+		n, err := r.back.Read(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		caller := r.caller
+		r.mu.Unlock()
+		_, _ = r.front.WriteToUDPAddrPort(buffer[:n], caller)
+	}
+}
+
+func (r *recorder) datagrams() [][]byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent
+}
+
+// throw sends each datagram to an address several times.
+func throw(address string, datagrams ...[]byte) {
+	GinkgoHelper()
+	conn, err := net.Dial("udp4", address)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	for range repeats {
+		for _, d := range datagrams {
+			_, _ = conn.Write(d)
+		}
+	}
+}
+
+// garbage returns datagrams of random bytes with the first byte of each kind of header.
+func garbage() [][]byte {
+	random := rand.New(rand.NewPCG(hostileSeed, hostileSeed))
+	list := [][]byte{{}, {shortHeader}, {longHeader, 0, 0, 0, 1, 255}}
+	for size := 2; size <= datagramLimit; size *= 2 {
+		d := make([]byte, size)
+		for i := range d {
+			d[i] = byte(random.Uint32())
+		}
+		short := append([]byte{shortHeader}, d...)
+		long := append([]byte{longHeader}, d...)
+		list = append(list, d, short, long)
+	}
+	return list
+}
+
+func shortPacket(codec *connid.Codec, id connid.ID) []byte {
+	raw := codec.Encode(id)
+	return append(append([]byte{shortHeader}, raw[:]...), make([]byte, 64)...)
+}
+
+func address(p *emulator.Process, port int) string {
+	return net.JoinHostPort(p.IP, strconv.Itoa(port))
+}
+
+const portData = 4400
+
+func dataAddress(p *emulator.Process) netip.AddrPort {
+	return netip.MustParseAddrPort(address(p, portData))
+}
+
+var _ = Describe("Hostile datagrams", func() {
+	var e *emulator.Emulator
+	BeforeEach(func() { e = start(small()) })
+
+	// expectUnharmed checks that no process has ended and that callers are served.
+	expectUnharmed := func(open *feeds) {
+		GinkgoHelper()
+		open.expectWhole()
+		for _, p := range append(append([]*emulator.Process(nil), e.Balancers...), e.Agents...) {
+			Expect(p.IsRunning()).To(BeTrue(), p.Name)
+		}
+		r := call(e, emulator.PortShort, callers.Request{ID: "unharmed", Class: class.Short, Body: []byte("notice")})
+		Expect(r.Outcome).To(Equal(callers.Done))
+	}
+
+	expectCounted := func(p *emulator.Process, names ...string) {
+		GinkgoHelper()
+		for _, name := range names {
+			Eventually(metric(e, p, name), openLimit).Should(BeNumerically(">=", repeats), p.Name+" "+name)
+		}
+	}
+
+	It("are dropped and counted when they are garbage", func() {
+		open := openFeeds(e, 6, 30)
+		for _, port := range []int{emulator.PortFeed, emulator.PortShort, portData} {
+			throw(address(e.Balancers[0], port), garbage()...)
+		}
+		throw(address(e.Agents[0], portData), garbage()...)
+		expectCounted(e.Balancers[0], `gentian_balancer_datagrams{verdict="malformed"`,
+			`gentian_balancer_datagrams{verdict="unknown_flow"`, "gentian_balancer_dropped_bad_envelope")
+		expectCounted(e.Agents[0], "gentian_agent_dropped_bad_envelope")
+		expectUnharmed(open)
+	})
+
+	It("are dropped and counted when their connection IDs or envelopes are forged", func() {
+		open := openFeeds(e, 6, 30)
+		agent := dataAddress(e.Agents[0])
+		forged := keySet(keys.Key{ID: 1, Secret: [16]byte{1}}, 1)
+		forgedCodec, err := connid.NewCodec(forged)
+		Expect(err).NotTo(HaveOccurred())
+		trueKeys, err := keys.Load(e.File(certificates.KeysFile))
+		Expect(err).NotTo(HaveOccurred())
+		trueCodec, err := connid.NewCodec(trueKeys)
+		Expect(err).NotTo(HaveOccurred())
+		throw(address(e.Balancers[0], emulator.PortShort),
+			shortPacket(forgedCodec, connid.ID{Agent: agent, Service: 1, Class: class.Short}),
+			shortPacket(trueCodec, connid.ID{Agent: netip.MustParseAddrPort("192.0.2.1:80"), Service: 1, Class: class.Short}),
+			shortPacket(trueCodec, connid.ID{Agent: agent, Service: 9, Class: class.Short}),
+			shortPacket(trueCodec, connid.ID{Agent: agent, Service: 1, Class: class.Short}),
+		)
+		sealed := envelope.Seal(nil, forged, envelope.Header{Kind: envelope.Deliver, Service: 1}, garbage()[4])
+		throw(address(e.Agents[0], portData), sealed)
+		throw(address(e.Balancers[0], portData), sealed)
+		expectCounted(e.Balancers[0], `gentian_balancer_datagrams{verdict="unknown_flow"`,
+			`gentian_balancer_datagrams{verdict="outside_networks"`, "gentian_balancer_dropped_bad_envelope")
+		expectCounted(e.Agents[0], otherServiceMetric, formerFlowMetric, "gentian_agent_dropped_bad_envelope")
+		expectUnharmed(open)
+	})
+
+	It("run nothing twice and break nothing when they are replayed or cut short", func() {
+		relay := startRecorder(e.Address(emulator.PortShort))
+		caller := newCaller(e, emulator.PortShort)
+		request := callers.Request{
+			ID: "once", Class: class.Short, Address: relay.front.LocalAddr().String(), Body: []byte("notice"),
+		}
+		Expect(caller.Do(GinkgoT().Context(), request).Outcome).To(Equal(callers.Done))
+		open := openFeeds(e, 6, 30)
+		recorded := relay.datagrams()
+		for _, b := range e.Balancers {
+			throw(address(b, emulator.PortShort), recorded...)
+			for _, d := range recorded {
+				throw(address(b, emulator.PortShort), d[:len(d)/2], d[:len(d)-1])
+			}
+		}
+		request.ID = "next"
+		Expect(caller.Do(GinkgoT().Context(), request).Outcome).To(Equal(callers.Done))
+		expectUnharmed(open)
+		total := 0
+		for _, host := range e.HostsOf(e.Deployment.PoolOf(emulator.PortShort).Name) {
+			total += countRuns(e, host, "once")
+		}
+		Expect(total).To(Equal(1))
+	})
+})
+
+func keySet(key keys.Key, current uint8) *keys.Set {
+	GinkgoHelper()
+	set, err := keys.NewSet([]keys.Key{key}, current)
+	Expect(err).NotTo(HaveOccurred())
+	return set
+}
