--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,10 @@
 build:
 	go build -o bin/ ./cmd/...
 
+# Runs one deployment through restarts, drains, a change and a failure, and reports what callers saw.
+demo: build
+	bin/gentian-demo --deployment $(DEPLOYMENT) $(DEMO_FLAGS)
+
 test:
 	go test -count=1 $(SKIP_GO) $$(go list ./... | grep -v /integration)
 	go test -count=1 -timeout 20m $(SKIP_GO) ./integration $(SKIP_SPECS)
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"gentianswitch/internal/class"
 )
 
@@ -39,6 +41,8 @@
 	PortFeed  = 4431
 	PortShort = 4432
 	PortLong  = 4433
+	// PortSpare is a port that the fabric carries and that no route uses at first.
+	PortSpare = 4434
 )
 
 // Sierra returns the deployment of the Agencia.
@@ -77,6 +81,16 @@
 	}
 }
 
+// DeploymentByName returns the deployment sierra or taiwan.
+func DeploymentByName(name string) (Deployment, error) {
+	for _, d := range []Deployment{Sierra(), Taiwan()} {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, eris.Errorf("deployment %q, expected sierra or taiwan", name)
+}
+
 // Tables returns the tables of the deployment as YAML, with the routes on the given IP.
 func (d Deployment) Tables(ip string) string {
 	var text strings.Builder
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -113,7 +113,8 @@
 }
 
 func (e *Emulator) fabricArgs() []string {
-	var addresses, balancers []string
+	var balancers []string
+	addresses := []string{e.Address(PortSpare)}
 	for _, r := range e.Deployment.Routes {
 		addresses = append(addresses, e.Address(r.Port))
 	}
--- /dev/null
+++ b/internal/load/emulated.go
@@ -0,0 +1,100 @@
+package load
+
+import (
+	"time"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/report"
+	"gentianswitch/internal/standin/callers"
+	"gentianswitch/internal/standin/certificates"
+)
+
+// StreamOf returns a stream of the given class on the route of an emulated deployment that declares the class. It
+// sends nothing until its rate or burst is set.
+func StreamOf(e *emulator.Emulator, c class.Class) Stream {
+	for _, r := range e.Deployment.Routes {
+		if r.Class == c {
+			return NewStream(c, e.Address(r.Port), r.Pool)
+		}
+	}
+	return Stream{Name: c.String(), Class: c}
+}
+
+// Steady returns the steady mix for an emulated deployment.
+func Steady(e *emulator.Emulator, seed uint64, length time.Duration) Profile {
+	p := SteadyMix(StreamOf(e, class.Feed), StreamOf(e, class.Short), StreamOf(e, class.Long), seed, length)
+	p.Name = e.Deployment.Name + " steady"
+	p.Authority = e.File(certificates.AuthorityFile)
+	return p
+}
+
+// Crest returns the crest for an emulated deployment.
+func Crest(e *emulator.Emulator, seed uint64, length time.Duration) Profile {
+	p := CrestMix(StreamOf(e, class.Feed), StreamOf(e, class.Short), StreamOf(e, class.Long), seed, length)
+	p.Name = e.Deployment.Name + " crest"
+	p.Authority = e.File(certificates.AuthorityFile)
+	return p
+}
+
+// Audit asks the targets what they have run and adds to the report the duplicate runs, the runs of requests whose
+// callers were told that they were not run, and the imbalance over the hosts that are not in except. Targets that
+// were replaced during the run are not known any more.
+func Audit(e *emulator.Emulator, recorder *report.Recorder, r *report.Report, except map[int]bool) error {
+	samples := make(map[string]report.Sample)
+	for _, s := range recorder.Samples() {
+		samples[s.Request] = s
+	}
+	runs := make(map[string]int)
+	for _, pool := range e.Deployment.Pools {
+		var work []time.Duration
+		for _, host := range e.HostsOf(pool.Name) {
+			done, err := hostRuns(e, host, samples, runs)
+			if err != nil {
+				return err
+			}
+			if !except[host] {
+				work = append(work, done)
+			}
+		}
+		r.Pools = append(r.Pools, report.Pool{Name: pool.Name, BusiestToMean: busiestToMean(work)})
+	}
+	for id, count := range runs {
+		if count > 1 {
+			r.DuplicateRuns++
+		}
+		if samples[id].Outcome == callers.NotRun {
+			r.RanThoughNotRun++
+		}
+	}
+	return nil
+}
+
+// hostRuns adds the runs of one host to all and returns the work of those that the samples know.
+func hostRuns(
+	e *emulator.Emulator, host int, samples map[string]report.Sample, all map[string]int,
+) (time.Duration, error) {
+	var work time.Duration
+	list, err := e.Runs(host)
+	for _, run := range list {
+		s, isKnown := samples[run.Request]
+		if !isKnown {
+			continue
+		}
+		all[run.Request] += run.Count
+		work += s.Work
+	}
+	return work, err
+}
+
+func busiestToMean(work []time.Duration) float64 {
+	var busiest, total time.Duration
+	for _, w := range work {
+		busiest = max(busiest, w)
+		total += w
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(busiest) * float64(len(work)) / float64(total)
+}
--- /dev/null
+++ b/internal/load/mix.go
@@ -0,0 +1,56 @@
+package load
+
+import (
+	"time"
+
+	"gentianswitch/internal/class"
+)
+
+// Shape of the steady mix, which is far below the capacity of the deployments of today.
+const (
+	feedCount    = 60
+	feedInterval = 200 * time.Millisecond
+	shortRate    = 40
+	shortBytes   = 200
+	shortWorkMin = 10 * time.Millisecond
+	shortWorkMax = 30 * time.Millisecond
+	longRate     = 2
+	longBytes    = 64 << 10
+	longWorkMin  = 400 * time.Millisecond
+	longWorkMax  = 1200 * time.Millisecond
+)
+
+// Shape of the crest.
+const (
+	crestBurst  = 200
+	crestFactor = 10
+	crestLength = 3 * time.Second
+)
+
+// NewStream returns a stream on the route at address, whose answers carry the name of the service. It sends nothing
+// until its rate or burst is set.
+func NewStream(c class.Class, address, service string) Stream {
+	return Stream{Name: c.String(), Class: c, Address: address, Service: service}
+}
+
+// SteadyMix returns a profile of feeds that stay open, short requests and uploads that run about 40 times longer.
+// The streams give the routes.
+func SteadyMix(feed, short, long Stream, seed uint64, length time.Duration) Profile {
+	feed.Burst, feed.BurstWindow = feedCount, time.Second
+	feed.Events, feed.Interval = int(length/feedInterval), feedInterval
+	short.Rate, short.BodyBytes = shortRate, shortBytes
+	short.WorkMin, short.WorkMax = shortWorkMin, shortWorkMax
+	long.Rate, long.BodyBytes = longRate, longBytes
+	long.WorkMin, long.WorkMax = longWorkMin, longWorkMax
+	return Profile{Name: "steady", Seed: seed, Length: length, Streams: []Stream{feed, short, long}}
+}
+
+// CrestMix returns the steady mix with a crest: in the first second all feeds open and many short requests start, and
+// after a third of the length the rates swing by ten times for 3 s.
+func CrestMix(feed, short, long Stream, seed uint64, length time.Duration) Profile {
+	short.Burst, short.BurstWindow = crestBurst, time.Second
+	p := SteadyMix(feed, short, long, seed, length)
+	p.Name = "crest"
+	p.Swings = []Swing{{At: length / 3, Length: crestLength, Factor: crestFactor}}
+	return p
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"context"
+	"crypto/x509"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/report"
+	"gentianswitch/internal/standin/callers"
+)
+
+const defaultPatience = 20 * time.Second
+
+// Run sends the load of a profile and returns the report when the last request has ended. When ctx ends, no further
+// request starts and those in progress are given up.
+func Run(ctx context.Context, p Profile) (*report.Report, error) {
+	r, err := Start(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	return r.Wait(), nil
+}
+
+// Running is a load in progress.
+type Running struct {
+	// Recorder receives a sample as each request ends.
+	Recorder  *report.Recorder
+	profile   Profile
+	began     time.Time
+	authority *x509.CertPool
+	callers   map[*Stream][]*callers.Caller
+	ended     chan struct{}
+	// inProgress counts the requests that have started and not ended.
+	inProgress atomic.Int64
+}
+
+// Start begins to send the load of a profile.
+func Start(ctx context.Context, p Profile) (*Running, error) {
+	authority, err := callers.LoadAuthority(p.Authority)
+	if err != nil {
+		return nil, err
+	}
+	r := &Running{
+		Recorder: report.NewRecorder(), profile: p, authority: authority,
+		callers: make(map[*Stream][]*callers.Caller), ended: make(chan struct{}),
+	}
+	for i := range r.profile.Streams {
+		if err := r.openCallers(&r.profile.Streams[i]); err != nil {
+			return nil, err
+		}
+	}
+	schedule := r.profile.schedule()
+	r.began = time.Now()
+	go r.send(ctx, schedule)
+	return r, nil
+}
+
+func (r *Running) openCallers(s *Stream) error {
+	for range s.Callers {
+		caller, err := callers.NewTrusting(r.authority, s.Service)
+		if err != nil {
+			return err
+		}
+		r.callers[s] = append(r.callers[s], caller)
+	}
+	return nil
+}
+
+// Since returns the time since the begin of the run.
+func (r *Running) Since() time.Duration {
+	return time.Since(r.began)
+}
+
+// InProgress returns the number of requests that have started and not ended.
+func (r *Running) InProgress() int {
+	return int(r.inProgress.Load())
+}
+
+// NewCaller returns a caller besides those of the profile. Its requests are not recorded.
+func (r *Running) NewCaller(s Stream) (*callers.Caller, error) {
+	return callers.NewTrusting(r.authority, s.Service)
+}
+
+// Mark records a step of the run at the present time.
+func (r *Running) Mark(step string) {
+	r.Recorder.Mark(r.Since(), step)
+}
+
+// Wait waits until the last request has ended and returns the report.
+func (r *Running) Wait() *report.Report {
+	<-r.ended
+	return r.Recorder.Report(r.profile.Name, r.profile.Seed, r.Since())
+}
+
+func (r *Running) send(ctx context.Context, schedule []arrival) {
+	defer close(r.ended)
+	defer r.closeCallers()
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	for _, a := range schedule {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(r.began.Add(a.at))):
+		}
+		requests.Go(func() { r.request(ctx, a) })
+	}
+}
+
+func (r *Running) closeCallers() {
+	for _, list := range r.callers {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
+func (r *Running) request(ctx context.Context, a arrival) {
+	r.inProgress.Add(1)
+	defer r.inProgress.Add(-1)
+	s := a.stream
+	caller, err := r.callerFor(a)
+	if err != nil {
+		r.Recorder.Add(report.Sample{Request: a.id(r.profile.Seed), Class: s.Class, Outcome: callers.Unreachable,
+			At: a.at, Latency: r.Since() - a.at, Detail: err.Error()})
+		return
+	}
+	if s.Callers == 0 {
+		defer caller.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.patience())
+	defer cancel()
+	var opened time.Duration
+	result := caller.Do(ctx, callers.Request{
+		ID: a.id(r.profile.Seed), Class: s.Class, Address: s.Address, Work: a.work,
+		Body: make([]byte, s.BodyBytes), Events: s.Events, Interval: s.Interval,
+		OnEvent: func(events int) {
+			if events == 1 {
+				opened = r.Since() - a.at
+			}
+		},
+	})
+	r.Recorder.Add(r.sample(a, result, opened))
+}
+
+func (r *Running) callerFor(a arrival) (*callers.Caller, error) {
+	own := r.callers[a.stream]
+	if len(own) > 0 {
+		return own[a.number%len(own)], nil
+	}
+	return callers.NewTrusting(r.authority, a.stream.Service)
+}
+
+func (r *Running) sample(a arrival, result callers.Result, opened time.Duration) report.Sample {
+	s := report.Sample{
+		Request: result.Request, Class: result.Class, Outcome: result.Outcome, At: a.at,
+		Latency: r.Since() - a.at, Work: a.work, RetryAfter: result.RetryAfter,
+	}
+	if result.Class == class.Feed && opened > 0 {
+		s.IsOpened = true
+		s.Latency = opened
+	}
+	if result.Err != nil {
+		s.Detail = result.Err.Error()
+	}
+	return s
+}
+
+// patience returns how long a caller waits: long enough for a whole feed in any case.
+func (s *Stream) patience() time.Duration {
+	base := s.Patience
+	if base == 0 {
+		base = defaultPatience
+	}
+	return base + time.Duration(s.Events)*s.Interval
+}
--- a/internal/standin/callers/caller.go
+++ b/internal/standin/callers/caller.go
@@ -77,21 +77,35 @@
 
 // New returns a caller that trusts the authority in the PEM file and expects answers of the named service.
 func New(authorityFile, service string) (*Caller, error) {
-	pem, err := os.ReadFile(authorityFile)
+	authority, err := LoadAuthority(authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return NewTrusting(authority, service)
+}
+
+// LoadAuthority reads the authority that callers trust from a PEM file.
+func LoadAuthority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
 	if err != nil {
 		return nil, eris.Wrap(err, "load authority")
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, eris.Errorf("%s holds no certificate", authorityFile)
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate", file)
 	}
+	return authority, nil
+}
+
+// NewTrusting returns a caller that trusts a loaded authority and expects answers of the named service.
+func NewTrusting(authority *x509.CertPool, service string) (*Caller, error) {
 	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, eris.Wrap(err, "open caller socket")
 	}
 	c := &Caller{quic: &quic.Transport{Conn: socket}, socket: socket, expect: service}
 	c.transport = &http3.Transport{
-		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, ServerName: control.ServerName},
+		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: authority, ServerName: control.ServerName},
 		QUICConfig: &quic.Config{
 			HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive,
 		},
