--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,7 +39,7 @@
 	Slots int
 	// Connections is the number of flows that the agent accepts.
 	Connections int
-	// Balancers are the control addresses of the balancers to announce to.
+	// Balancers are the control addresses of balancers that tell the agent its homes.
 	Balancers []netip.AddrPort
 	// Policy names the admission policy, see package admit.
 	Policy string
@@ -93,24 +93,26 @@
 	keys        atomic.Pointer[keys.Set]
 	codec       atomic.Pointer[connid.Codec]
 	incarnation uint64
-	lifecycle   *lifecycle
-	socket      *net.UDPConn
-	conns       map[class.Class]*virtualConn
-	frontends   []*frontend
-	returns     *returns
-	outbound    *ring.Ring[outgoing]
-	counters    counters
-	requests    requestCounters
-	target      *targetClient
-	admission   *admission
-	budget      *retry.Budget
-	health      *healthMonitor
-	peers       *relayPool
-	progress    *progress
-	placements  *placements
-	slowStart   slowStart
-	stopper     *stopper
-	group       *duty.Group
+	// announcedIncarnation is the incarnation, or more when the VM's former agent had a later clock.
+	announcedIncarnation atomic.Uint64
+	lifecycle            *lifecycle
+	socket               *net.UDPConn
+	conns                map[class.Class]*virtualConn
+	frontends            []*frontend
+	returns              *returns
+	outbound             *ring.Ring[outgoing]
+	counters             counters
+	requests             requestCounters
+	target               *targetClient
+	admission            *admission
+	budget               *retry.Budget
+	health               *healthMonitor
+	peers                *relayPool
+	progress             *progress
+	placements           *placements
+	slowStart            slowStart
+	stopper              *stopper
+	group                *duty.Group
 }
 
 // New returns an agent that is not yet running. The incarnation is taken from the time of the start.
@@ -144,6 +146,7 @@
 		slowStart:   slowStart{started: now, duration: settings.SlowStart},
 		stopper:     newStopper(),
 	}
+	a.announcedIncarnation.Store(a.incarnation)
 	return a, a.SetKeys(set)
 }
 
@@ -194,11 +197,7 @@
 	a.group.Go("admission", a.admission.tickAll)
 	a.group.Go("health", a.watchHealth)
 	a.group.Go("control", a.serveControlAll)
-	for _, address := range a.settings.Balancers {
-		a.group.Go("announce to "+address.String(), func(ctx context.Context) error {
-			return a.announceTo(ctx, address)
-		})
-	}
+	a.group.Go("announce", newHomes(a, a.settings.Balancers).keep)
 	return nil
 }
 
@@ -210,7 +209,7 @@
 		Service:     a.settings.Service,
 		Zone:        a.settings.Zone,
 		Slots:       a.settings.Slots,
-		Incarnation: a.incarnation,
+		Incarnation: a.announcedIncarnation.Load(),
 		Sequence:    sequence,
 		State:       state,
 	}
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -4,22 +4,8 @@
 	"errors"
 	"os"
 	"time"
-
-	"github.com/rotisserie/eris"
-
-	"gentianswitch/internal/frame"
 )
 
-// ReceiveWithin reads the next message. It fails when none arrives within limit.
-func (c *Conn) ReceiveWithin(limit time.Duration) (Message, error) {
-	var m Message
-	if err := c.raw.SetReadDeadline(time.Now().Add(limit)); err != nil {
-		return m, eris.Wrapf(err, "receive from %s", c.Peer())
-	}
-	err := frame.Read(c.raw, &m)
-	return m, eris.Wrapf(err, "receive from %s", c.Peer())
-}
-
 // CallWithin sends a message and returns the next one that arrives within limit.
 func (c *Conn) CallWithin(m Message, limit time.Duration) (Message, error) {
 	if err := c.Send(m); err != nil {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -119,7 +119,8 @@
 }
 
 func (e *Emulator) fabricArgs() []string {
-	var addresses, balancers []string
+	var balancers []string
+	addresses := []string{e.Address(PortSpare)}
 	for _, r := range e.Deployment.Routes {
 		addresses = append(addresses, e.Address(r.Port))
 	}
@@ -148,7 +149,7 @@
 func (e *Emulator) balancer(i int) *Process {
 	ip := e.ip(hostFirstBalancer + i)
 	args := append(e.commonArgs(ip, e.zone(i)), "--store", e.StoreAddress(), "--bind-ip", ip,
-		"--agent-networks", e.block+".0/24")
+		"--agent-networks", e.block+".0/24", "--peers", strings.Join(e.ControlAddresses(), ","))
 	return e.process(fmt.Sprintf("balancer-%d", i), ip, "gentian-balancer", args...)
 }
 
