--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -206,6 +206,53 @@
 		expectInForce(e, 4)
 	})
 
+	It("reaches balancers that start while the store is down, also when all have been replaced", func() {
+		e := startSmall()
+		report, code := apply(e, "--file", writeTables(e, 19), "--wait")
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		setStoreFaults(e, kv.Faults{Down: true})
+		for _, b := range e.Balancers {
+			Expect(b.Stop(stopLimit)).To(Succeed())
+			Expect(b.Start()).To(Succeed())
+			expectInForce(e, report.Revision)
+		}
+		_, err := e.AddBalancer()
+		Expect(err).NotTo(HaveOccurred())
+		expectInForce(e, report.Revision)
+	})
+
+	It("reaches a balancer that is cut from the store but not from its peers", func() {
+		e := startSmall()
+		cut := e.Balancers[0]
+		Expect(cut.Stop(stopLimit)).To(Succeed())
+		e.CutFromStore(cut)
+		Expect(cut.Start()).To(Succeed())
+		expectInForce(e, 1)
+		report, code := apply(e, "--file", writeTables(e, 20), "--store-only")
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		expectInForce(e, report.Revision)
+	})
+
+	It("does not go back on a balancer that starts over a store that came back older", func() {
+		e := startSmall()
+		report, code := apply(e, "--file", writeTables(e, 21), "--wait")
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		setStoreFaults(e, kv.Faults{HeadVersion: 1})
+		Expect(e.Balancers[0].Kill()).To(Succeed())
+		Expect(e.Balancers[0].Start()).To(Succeed())
+		expectInForce(e, report.Revision)
+		Consistently(inForce, time.Second).WithArguments(e).Should(HaveEach(report.Revision))
+	})
+
+	It("comes to every balancer through the peers when one balancer was told and the store went down", func() {
+		e := startSmall()
+		setStoreFaults(e, kv.Faults{DownAfterWrite: revision.HeadKey})
+		first := e.ControlAddresses()[0]
+		report, code := apply(e, "--file", writeTables(e, 22), "--balancers", first)
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		expectInForce(e, report.Revision)
+	})
+
 	It("refuses invalid tables with exit code 2 and applies nothing", func() {
 		e := startSmall()
 		file := writeTables(e, -1)
--- a/internal/balancer/configuration_readers.go
+++ b/internal/balancer/configuration_readers.go
@@ -17,7 +17,13 @@
 
 // zoneBalancers returns the control addresses of the live balancers of this availability zone.
 func (b *Balancer) zoneBalancers() []netip.AddrPort {
-	return nil
+	var list []netip.AddrPort
+	for _, m := range b.state.liveBalancers() {
+		if m.Zone == b.settings.Zone {
+			list = append(list, m.Control)
+		}
+	}
+	return list
 }
 
 // isChosen reports whether self is among the count members with the highest rendezvous scores. It is also true when
--- a/internal/emulator/change.go
+++ b/internal/emulator/change.go
@@ -23,6 +23,14 @@
 	return b, e.sprayOver(e.Balancers)
 }
 
+// unreachable is a store address at which nothing listens.
+const unreachable = "127.0.0.1:1"
+
+// CutFromStore makes the next starts of a balancer use a store that does not answer.
+func (e *Emulator) CutFromStore(b *Process) {
+	b.args = append(b.args, "--store", unreachable)
+}
+
 // RemoveBalancer lets the fabric spray over the other balancers only. The process goes on.
 func (e *Emulator) RemoveBalancer(b *Process) error {
 	e.Balancers = slices.DeleteFunc(e.Balancers, func(other *Process) bool { return other == b })
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -110,7 +111,7 @@
 // awaitNewest returns the newest revision that a balancer has in force, as soon as one answers.
 func (o *Operator) awaitNewest(ctx context.Context) (revision.ID, netip.AddrPort, bool) {
 	for {
-		known, from, ok := newest(o.statuses(ctx))
+		known, from, ok := newest(o.statuses(ctx, o.balancers))
 		if ok || !sleep(ctx, retryInterval) {
 			return known, from, ok
 		}
@@ -132,9 +133,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	confirmed := make(map[netip.AddrPort]bool)
 	for {
-		report.Behind = o.offerAll(ctx, result)
-		report.Confirmed = len(o.balancers) - len(report.Behind)
+		report.Behind = o.deliverOnce(ctx, result, options, confirmed)
+		report.Confirmed = len(confirmed)
 		isEnough := len(report.Behind) == 0 || report.Confirmed > 0 && !options.IsWaiting
 		if isEnough || !sleep(ctx, retryInterval) {
 			break
@@ -156,6 +158,30 @@
 	}
 }
 
+// deliverOnce offers the change to the balancers that have not confirmed it, adds those that do now, and returns the
+// others.
+func (o *Operator) deliverOnce(
+	ctx context.Context, result revision.Result, options ApplyOptions, confirmed map[netip.AddrPort]bool,
+) []netip.AddrPort {
+	balancers := o.balancers
+	if options.IsWaiting {
+		balancers = o.known(ctx)
+	}
+	var open []netip.AddrPort
+	for _, b := range balancers {
+		if !confirmed[b] {
+			open = append(open, b)
+		}
+	}
+	behind := o.offerAll(ctx, open, result)
+	for _, b := range open {
+		if !slices.Contains(behind, b) {
+			confirmed[b] = true
+		}
+	}
+	return behind
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/internal/operator/balancers.go
+++ b/internal/operator/balancers.go
@@ -28,10 +28,10 @@
 }
 
 // forEach runs the function for each balancer, several at once.
-func (o *Operator) forEach(run func(i int, address netip.AddrPort)) {
+func forEach(balancers []netip.AddrPort, run func(i int, address netip.AddrPort)) {
 	slots := make(chan struct{}, maxDials)
 	var calls sync.WaitGroup
-	for i, address := range o.balancers {
+	for i, address := range balancers {
 		slots <- struct{}{}
 		calls.Go(func() {
 			run(i, address)
@@ -48,9 +48,9 @@
 	err     error
 }
 
-func (o *Operator) statuses(ctx context.Context) []answer {
-	answers := make([]answer, len(o.balancers))
-	o.forEach(func(i int, address netip.AddrPort) {
+func (o *Operator) statuses(ctx context.Context, balancers []netip.AddrPort) []answer {
+	answers := make([]answer, len(balancers))
+	forEach(balancers, func(i int, address netip.AddrPort) {
 		reply, err := o.call(ctx, address, control.Message{StatusRequest: &control.StatusRequest{}})
 		if err == nil && reply.Status == nil {
 			err = eris.Errorf("status of %s: another message came", address)
@@ -60,6 +60,21 @@
 	return answers
 }
 
+// known returns the balancers of the settings and those that they hold to be live, sorted.
+func (o *Operator) known(ctx context.Context) []netip.AddrPort {
+	list := slices.Clone(o.balancers)
+	for _, a := range o.statuses(ctx, o.balancers) {
+		if a.err != nil {
+			continue
+		}
+		for _, b := range a.status.Balancers {
+			list = append(list, b.Control)
+		}
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return slices.Compact(list)
+}
+
 // newest returns the newest revision among the answers and a balancer that has it in force. It reports false when no
 // balancer has answered.
 func newest(answers []answer) (revision.ID, netip.AddrPort, bool) {
@@ -111,15 +126,14 @@
 }
 
 // offerAll hands an accepted revision to the balancers and returns those that do not have it in force.
-func (o *Operator) offerAll(ctx context.Context, result revision.Result) []netip.AddrPort {
-	isTaken := make([]bool, len(o.balancers))
-	o.forEach(func(i int, address netip.AddrPort) { isTaken[i] = o.offer(ctx, address, result) })
+func (o *Operator) offerAll(ctx context.Context, balancers []netip.AddrPort, result revision.Result) []netip.AddrPort {
+	isTaken := make([]bool, len(balancers))
+	forEach(balancers, func(i int, address netip.AddrPort) { isTaken[i] = o.offer(ctx, address, result) })
 	var behind []netip.AddrPort
-	for i, address := range o.balancers {
+	for i, address := range balancers {
 		if !isTaken[i] {
 			behind = append(behind, address)
 		}
 	}
-	slices.SortFunc(behind, netip.AddrPort.Compare)
 	return behind
 }
--- a/internal/operator/drain.go
+++ b/internal/operator/drain.go
@@ -53,7 +53,7 @@
 // controlOf returns the control address of the agent with the given datagram address. An address that no balancer
 // knows is taken for the control address itself.
 func (o *Operator) controlOf(ctx context.Context, target netip.AddrPort) netip.AddrPort {
-	for _, t := range mergeTargets(o.statuses(ctx)) {
+	for _, t := range mergeTargets(o.statuses(ctx, o.balancers)) {
 		if t.Agent == target {
 			return t.Control
 		}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"slices"
 	"testing"
@@ -96,3 +97,17 @@
 		t.Fatalf("exit code %d: %s", code, report.Text())
 	}
 }
+
+func TestApplyKeepsWhatWasConfirmedWhenOthersNeverAnswer(t *testing.T) {
+	o := withBalancers(t, &fakeBalancer{})
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	o.balancers = append(o.balancers, netip.MustParseAddrPort(silent.Addr().String()))
+	report, code := o.Apply(t.Context(), parsed(t, firstTables), options("first"))
+	if code != ExitPending || report.Confirmed != 1 || len(report.Behind) != 1 {
+		t.Fatalf("exit code %d: %s", code, report.Text())
+	}
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -65,7 +65,7 @@
 	} else {
 		report.Revision, report.Change = view.Head.ID.Number, view.Head.ID.Change
 	}
-	answers := o.statuses(ctx)
+	answers := o.statuses(ctx, o.known(ctx))
 	for _, a := range answers {
 		report.Balancers = append(report.Balancers, describeBalancer(a))
 	}
