Measure the service at the crest with the real programs under two policies

Cause: the policy of the agents had no figures of the whole system. Change: gentian-experiment runs scenarios on the emulator under the production policy and the baseline (fifo) and prints ratios of one run; callers state a deadline.

--- /dev/null
+++ b/cmd/gentian-experiment/main.go
@@ -0,0 +1,95 @@
+// Command gentian-experiment measures the service that callers get from a deployment on loopback, under the production
+// policy and under the baseline. It is a tool for measurement and no part of the product.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/experiment"
+	"gentianswitch/internal/program"
+)
+
+const (
+	name     = "gentian-experiment"
+	fileMode = 0o600
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	deployment := fs.String("deployment", "sierra", "sierra or taiwan")
+	only := fs.String("only", "", "comma-separated `names` of experiments; empty for all")
+	seed := fs.Uint64("seed", 1, "`seed` of the load and of the fabric")
+	file := fs.String("report", "", "`file` for the results as JSON")
+	if err := fs.Parse(args); err != nil {
+		return program.ReportUsage(name, err)
+	}
+	d, err := emulator.DeploymentByName(*deployment)
+	if err != nil {
+		return program.ReportUsage(name, err)
+	}
+	results, err := measure(d, *only, *seed)
+	if err == nil && *file != "" {
+		err = save(*file, results)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return program.ExitFailed
+	}
+	return program.ExitOK
+}
+
+func measure(d emulator.Deployment, only string, seed uint64) ([]*experiment.Result, error) {
+	own, err := os.Executable()
+	if err != nil {
+		return nil, eris.Wrap(err, "find programs")
+	}
+	graceful, _ := program.Stopping()
+	var results []*experiment.Result
+	for _, x := range experiment.All() {
+		if only != "" && !strings.Contains(","+only+",", ","+x.Name+",") {
+			continue
+		}
+		fmt.Printf("%s: %s (%s, seed %d)\n", x.Name, x.Matter, d.Name, seed)
+		result, err := x.Run(graceful, d, filepath.Dir(own), seed, os.Stdout)
+		if err != nil {
+			return nil, eris.Wrapf(err, "experiment %s", x.Name)
+		}
+		printFigures(result)
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func printFigures(r *experiment.Result) {
+	for _, f := range r.Figures {
+		verdict := ""
+		switch {
+		case f.Limit != 0 && f.IsMet():
+			verdict = fmt.Sprintf("bound %.2f met", f.Limit)
+		case f.Limit != 0:
+			verdict = fmt.Sprintf("bound %.2f MISSED", f.Limit)
+		}
+		fmt.Printf("  %-5s %-46s %8.3f  %s\n", f.Policy, f.Name, f.Value, verdict)
+	}
+	fmt.Println()
+}
+
+func save(path string, results []*experiment.Result) error {
+	raw, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode results")
+	}
+	return eris.Wrapf(os.WriteFile(path, raw, fileMode), "write %s", path)
+}
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -34,6 +34,8 @@
 	Balancers int
 	Pools     []Pool
 	Routes    []Route
+	// AgentArgs are further arguments of every agent.
+	AgentArgs []string
 }
 
 // Ports of the routes of both deployments.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -161,6 +161,7 @@
 		"target", "--listen", address, "--service", pool.Name, "--slots", fmt.Sprint(pool.Slots))
 	args := append(e.commonArgs(ip, e.zone(i)), "--target", address, "--service", fmt.Sprint(pool.Service),
 		"--slots", fmt.Sprint(pool.Slots), "--balancers", strings.Join(e.ControlAddresses(), ","))
+	args = append(args, e.Deployment.AgentArgs...)
 	return target, e.process(fmt.Sprintf("agent-%d", i), ip, "gentian-agent", args...)
 }
 
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,133 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/emulator"
+)
+
+// Bounds of the figures.
+const (
+	overloadFactor     = 3
+	minGoodputRatio    = 0.95
+	maxHeadOfLineRatio = 1.5
+	maxImbalance       = 1.1
+	maxTries           = 1.1
+)
+
+// Figure is one measured ratio or value.
+type Figure struct {
+	Experiment string  `json:"experiment"`
+	Name       string  `json:"name"`
+	Policy     string  `json:"policy"`
+	Value      float64 `json:"value"`
+	// Limit is the bound, with its direction in IsFloor. Zero stands for none.
+	Limit   float64 `json:"limit,omitempty"`
+	IsFloor bool    `json:"is_floor,omitempty"`
+}
+
+// IsMet reports whether the figure keeps its bound.
+func (f Figure) IsMet() bool {
+	switch {
+	case f.Limit == 0:
+		return true
+	case f.IsFloor:
+		return f.Value >= f.Limit
+	default:
+		return f.Value <= f.Limit
+	}
+}
+
+// Result is what an experiment has shown.
+type Result struct {
+	Figures  []Figure   `json:"figures"`
+	Outcomes []*Outcome `json:"outcomes"`
+}
+
+// Experiment measures one matter on a deployment.
+type Experiment struct {
+	Name string
+	// Matter tells what is measured.
+	Matter string
+	run    func(r *runner, d emulator.Deployment) error
+}
+
+// All returns every experiment.
+func All() []Experiment {
+	return []Experiment{
+		{"overload", "goodput of short requests at 3 times capacity against at capacity", (*runner).overload},
+		{"head-of-line", "p99 of short requests beside uploads in the same pool against without them", (*runner).headOfLine},
+		{"imbalance", "work of the busiest host against the mean at 0.7 of capacity", (*runner).imbalance},
+		{"crest", "whole answers to requests of the first 5 s when every caller arrives in one second", (*runner).crest},
+		{"disturbed", "the crest with a slow host, a drained target and a killed balancer", (*runner).disturbed},
+	}
+}
+
+// Run runs an experiment with the programs in the directory bin and tells its progress on out.
+func (x Experiment) Run(ctx context.Context, d emulator.Deployment, bin string, seed uint64, out io.Writer) (*Result, error) {
+	r := &runner{ctx: ctx, name: x.Name, bin: bin, seed: seed, out: out, result: &Result{}}
+	err := x.run(r, d)
+	return r.result, err
+}
+
+// runner runs the scenarios of one experiment one after the other.
+type runner struct {
+	ctx    context.Context
+	name   string
+	bin    string
+	seed   uint64
+	out    io.Writer
+	result *Result
+}
+
+func (r *runner) scenario(s Scenario) (*Outcome, error) {
+	o, err := s.run(r.ctx, r.bin, r.seed)
+	if err != nil {
+		return nil, err
+	}
+	r.result.Outcomes = append(r.result.Outcomes, o)
+	short := o.Report.ClassOf(class.Short)
+	_, _ = fmt.Fprintf(r.out, "  %-28s %-5s short: sent %d, done %d, not run %d, unknown %d, unreachable %d, p50 %.0f ms, p99 %.0f ms\n",
+		s.Name, s.Policy, short.Sent, short.Outcomes.Done, short.Outcomes.NotRun, short.Outcomes.Unknown,
+		short.Outcomes.Unreachable, short.Answered.P50MS, short.Answered.P99MS)
+	return o, nil
+}
+
+func (r *runner) figure(policy, name string, value, limit float64, isFloor bool) {
+	r.result.Figures = append(r.result.Figures, Figure{
+		Experiment: r.name, Name: name, Policy: policy, Value: value, Limit: limit, IsFloor: isFloor,
+	})
+}
+
+// pair runs two scenarios under each policy and passes the outcomes to compare.
+func (r *runner) pair(first, second Scenario, compare func(policy string, a, b *Outcome)) error {
+	for _, policy := range policies {
+		first.Policy, second.Policy = policy, policy
+		a, err := r.scenario(first)
+		if err != nil {
+			return err
+		}
+		b, err := r.scenario(second)
+		if err != nil {
+			return err
+		}
+		compare(policy, a, b)
+	}
+	return nil
+}
+
+// each runs a scenario under each policy and passes the outcomes to judge.
+func (r *runner) each(s Scenario, judge func(policy string, o *Outcome)) error {
+	for _, policy := range policies {
+		s.Policy = policy
+		o, err := r.scenario(s)
+		if err != nil {
+			return err
+		}
+		judge(policy, o)
+	}
+	return nil
+}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -38,6 +38,8 @@
 	Callers int
 	// Patience is how long a caller waits for an answer.
 	Patience time.Duration
+	// Deadline is the time that callers state for each request; zero states none.
+	Deadline time.Duration
 }
 
 // Swing multiplies the rates of all streams for a while.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -136,7 +136,7 @@
 	var opened time.Duration
 	result := caller.Do(ctx, callers.Request{
 		ID: a.id(r.profile.Seed), Class: s.Class, Address: s.Address, Work: a.work,
-		Body: make([]byte, s.BodyBytes), Events: s.Events, Interval: s.Interval,
+		Body: make([]byte, s.BodyBytes), Events: s.Events, Interval: s.Interval, Deadline: s.Deadline,
 		OnEvent: func(events int) {
 			if events == 1 {
 				opened = r.Since() - a.at
--- a/internal/standin/callers/caller.go
+++ b/internal/standin/callers/caller.go
@@ -152,6 +152,10 @@
 	OnEvent func(events int)
 	// IdempotencyKey is sent when it is not empty.
 	IdempotencyKey string
+	// Method replaces the usual method of the class when it is not empty.
+	Method string
+	// Deadline is sent in target.HeaderDeadline when it is not zero.
+	Deadline time.Duration
 }
 
 // Do sends a request and checks the answer.
@@ -197,6 +201,9 @@
 		method = http.MethodPost
 		path = fmt.Sprintf("%s?%s=%d", target.PathUpload, target.QueryWork, r.Work.Milliseconds())
 	}
+	if r.Method != "" {
+		method = r.Method
+	}
 	request, err := http.NewRequestWithContext(ctx, method, "https://"+r.Address+path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, eris.Wrap(err, "build request")
@@ -205,6 +212,9 @@
 	if r.IdempotencyKey != "" {
 		request.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
+	if r.Deadline != 0 {
+		request.Header.Set(target.HeaderDeadline, fmt.Sprint(r.Deadline.Milliseconds()))
+	}
 	return request, nil
 }
 
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -29,6 +29,8 @@
 	QueryInterval = "interval_ms"
 	QueryWork     = "work_ms"
 	HeaderRequest = "X-Request-Id"
+	// HeaderDeadline is the time that is left for a request, in milliseconds.
+	HeaderDeadline = "Gentian-Deadline-Ms"
 )
 
 // Faults are the faults in force.
@@ -41,6 +43,14 @@
 	Hang bool `json:"hang"`
 	// CutBody ends the connection in the middle of an answer.
 	CutBody bool `json:"cut_body"`
+	// CutBeforeRun ends the connection once the request was read, and does not run it.
+	CutBeforeRun bool `json:"cut_before_run"`
+	// CutAfterRun ends the connection after the run, without an answer.
+	CutAfterRun bool `json:"cut_after_run"`
+	// CutUnframed sends half of an answer that has neither a length nor chunks.
+	CutUnframed bool `json:"cut_unframed"`
+	// Crossed sends a second answer, of another request, behind each answer and keeps the connection open.
+	Crossed bool `json:"crossed"`
 	// IsUnhealthy and Load are what the health and load endpoints say, whatever is true.
 	IsUnhealthy bool    `json:"is_unhealthy"`
 	Load        float64 `json:"load"`
@@ -54,10 +64,14 @@
 	Hash    string `json:"hash"`
 }
 
-// Run counts how often a request was run.
+// Run tells how often a request was run.
 type Run struct {
 	Request string `json:"request"`
 	Count   int    `json:"count"`
+	// DeadlineMs is the deadline that the last run was given, in milliseconds, or zero.
+	DeadlineMs int64 `json:"deadline_ms"`
+	// Cancelled counts the runs that were cancelled before their end.
+	Cancelled int `json:"cancelled"`
 }
 
 // Target is the stand-in.
@@ -66,13 +80,13 @@
 	slots   chan struct{}
 	mu      sync.Mutex
 	faults  Faults
-	runs    map[string]int
+	runs    map[string]*Run
 	busy    time.Duration
 }
 
 // New returns a target of the named service that runs at most slots requests at once.
 func New(service string, slots int) *Target {
-	return &Target{service: service, slots: make(chan struct{}, slots), runs: make(map[string]int)}
+	return &Target{service: service, slots: make(chan struct{}, slots), runs: make(map[string]*Run)}
 }
 
 // Handler returns the HTTP handler of the target.
@@ -145,7 +159,10 @@
 	defer func() { <-t.slots }()
 	request := r.Header.Get(HeaderRequest)
 	faults := t.currentFaults()
-	t.run(request)
+	if faults.CutBeforeRun {
+		panic(http.ErrAbortHandler)
+	}
+	t.run(request, r.Header.Get(HeaderDeadline))
 	if faults.Hang {
 		<-r.Context().Done()
 		return
@@ -154,25 +171,37 @@
 	if faults.Slowdown > 0 {
 		duration = time.Duration(float64(duration) * faults.Slowdown)
 	}
-	time.Sleep(duration)
+	select {
+	case <-time.After(duration):
+	case <-r.Context().Done():
+		t.cancelled(request)
+		return
+	}
 	t.addBusy(duration)
+	if faults.CutAfterRun {
+		panic(http.ErrAbortHandler)
+	}
 	if faults.FailShort {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
 	answer := Answer{Service: t.service, Request: request, Bytes: size, Hash: hex.EncodeToString(hash.Sum(nil))}
-	t.reply(w, answer, faults.CutBody)
+	t.reply(w, answer, faults)
 }
 
-func (t *Target) reply(w http.ResponseWriter, answer Answer, isCut bool) {
+func (t *Target) reply(w http.ResponseWriter, answer Answer, faults Faults) {
 	body, err := json.Marshal(answer)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	if faults.Crossed || faults.CutUnframed {
+		hijack(w, body, faults)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if !isCut {
+	if !faults.CutBody {
 		_, _ = w.Write(body)
 		return
 	}
@@ -181,10 +210,22 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (t *Target) run(request string) {
+func (t *Target) run(request, deadline string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run := t.runs[request]
+	if run == nil {
+		run = &Run{Request: request}
+		t.runs[request] = run
+	}
+	run.Count++
+	run.DeadlineMs, _ = strconv.ParseInt(deadline, 10, 64)
+}
+
+func (t *Target) cancelled(request string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.runs[request]++
+	t.runs[request].Cancelled++
 }
 
 func (t *Target) addBusy(d time.Duration) {
@@ -197,8 +238,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]Run, 0, len(t.runs))
-	for request, count := range t.runs {
-		list = append(list, Run{Request: request, Count: count})
+	for _, run := range t.runs {
+		list = append(list, *run)
 	}
 	_ = json.NewEncoder(w).Encode(list)
 }
