Prove membership with the real programs

Found on the way and mended here: a connection to a seed was dropped at once as surplus, so that "tells of the planned stop" saw 3 balancers after 1 s in one run of two.

--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -55,6 +55,7 @@
 	p.sessions[peer.Data] = append(p.sessions[peer.Data], s)
 	p.peerOf[s] = peer
 	p.isDialed[s] = isDialed
+	p.wantedAt[peer.Data] = time.Now()
 	p.balancer.log.Emit(events.PeerConnected, events.F("peer", peer.Data.String()), events.F("role", rolePeer))
 }
 
@@ -72,6 +73,7 @@
 		return b.Data, false
 	}
 	delete(p.sessions, b.Data)
+	delete(p.wantedAt, b.Data)
 	p.balancer.log.Emit(events.PeerLost, events.F("peer", b.Data.String()), events.F("role", rolePeer), events.Err(nil))
 	return b.Data, true
 }
@@ -124,7 +126,7 @@
 	for _, s := range p.sessions[peer] {
 		time.AfterFunc(connectInterval, s.conn.Close)
 	}
-	delete(p.wantedAt, peer)
+	p.wantedAt[peer] = time.Now()
 }
 
 // drain waits until the messages of all connections have been taken for sending, but not past end.
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -52,6 +52,15 @@
 	return nil
 }
 
+// SetFlag replaces the value of a flag for the next start.
+func (p *Process) SetFlag(flag, value string) {
+	for i, arg := range p.args {
+		if arg == flag {
+			p.args[i+1] = value
+		}
+	}
+}
+
 // LogFile returns the path of the file with the output of the process.
 func (p *Process) LogFile() string {
 	return filepath.Join(p.dir, p.Name+".log")
