--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -1,6 +1,10 @@
 package agent
 
-import "github.com/uber-go/tally/v4"
+import (
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/class"
+)
 
 // counters are the metrics of the datagram path, in datagrams.
 type counters struct {
@@ -8,6 +12,7 @@
 	malformed    tally.Counter
 	unknownFlow  tally.Counter
 	otherService tally.Counter
+	formerFlow   tally.Counter
 	refusedFlow  tally.Counter
 	handedOn     tally.Counter
 	ringFull     tally.Counter
@@ -21,6 +26,7 @@
 		malformed:    scope.Counter("dropped_malformed"),
 		unknownFlow:  scope.Counter("dropped_unknown_flow"),
 		otherService: scope.Counter("dropped_other_service"),
+		formerFlow:   scope.Counter("dropped_former_flow"),
 		refusedFlow:  scope.Counter("dropped_refused_flow"),
 		handedOn:     scope.Counter("handed_on"),
 		ringFull:     scope.Counter("dropped_ring_full"),
@@ -28,3 +34,27 @@
 		sendFailed:   scope.Counter("dropped_send_failed"),
 	}
 }
+
+// requestCounters are the metrics of the requests.
+type requestCounters struct {
+	scope       tally.Scope
+	retries     tally.Counter
+	relayed     tally.Counter
+	cutFeeds    tally.Counter
+	cutRequests tally.Counter
+}
+
+func newRequestCounters(scope tally.Scope) requestCounters {
+	return requestCounters{
+		scope:       scope,
+		retries:     scope.Counter("retries"),
+		relayed:     scope.Counter("relayed"),
+		cutFeeds:    scope.Counter("cut_feeds"),
+		cutRequests: scope.Counter("cut_requests"),
+	}
+}
+
+// finished counts a request by its class and outcome.
+func (c *requestCounters) finished(kind class.Class, outcome string) {
+	c.scope.Tagged(map[string]string{"class": kind.String(), "outcome": outcome}).Counter("requests").Inc(1)
+}
