Bound the rotation of the return path

Cause: the rotation kept every balancer that was ever heard of and searched it for each datagram; at 17,000 balancers that is 17,000 entries in each agent. Change: at most 64 paths, found by a map; a new balancer takes the place of one that has left the window.

--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -24,6 +24,7 @@
 	// revisionLimit is the time after which a revision is in force on every balancer.
 	revisionLimit = 4 * time.Second
 	pollInterval  = 50 * time.Millisecond
+	newFlows      = 20
 )
 
 // statusOf asks a balancer for its view.
@@ -64,10 +65,10 @@
 	}
 }
 
-// expectServed opens new flows and expects each to be served.
-func expectServed(e *emulator.Emulator, flows int) {
+// expectServed opens newFlows flows and expects each to be served.
+func expectServed(e *emulator.Emulator) {
 	GinkgoHelper()
-	for range flows {
+	for range newFlows {
 		result := call(e, emulator.PortShort, callers.Request{ID: "new", Class: class.Short, Work: time.Millisecond})
 		Expect(result.Outcome).To(Equal(callers.Done), "%+v", result)
 	}
@@ -99,7 +100,7 @@
 		e := start(emulator.Sierra())
 		Expect(e.Agents[1].Kill()).To(Succeed())
 		expectState(e, 1, member.Failed, 0, 1, 2)
-		expectServed(e, 20)
+		expectServed(e)
 	})
 
 	It("takes a paused agent out and back with its incarnation", func() {
@@ -110,13 +111,13 @@
 		Expect(e.Agents[1].Signal(syscall.SIGCONT)).To(Succeed())
 		expectState(e, 1, member.Ready, 0, 1, 2)
 		Expect(viewOf(e, 0, 1).Incarnation).To(Equal(before.Incarnation))
-		expectServed(e, 20)
+		expectServed(e)
 	})
 
 	It("knows a restarted agent by its new incarnation", func() {
 		e := start(emulator.Sierra())
 		restartAgent(e, 1)
-		expectServed(e, 20)
+		expectServed(e)
 	})
 
 	It("moves an address to the service of its new agent", func() {
@@ -149,7 +150,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(strings.Count(string(log), `"msg":"zone changed"`)).To(Equal(1))
 		}
-		expectServed(e, 20)
+		expectServed(e)
 	})
 
 	It("tells a balancer that starts during a store outage everything", func() {
@@ -164,7 +165,7 @@
 			expectState(e, i, member.Ready, 2)
 		}
 		Expect(e.AwaitBalancer(e.Balancers[2])).To(Succeed())
-		expectServed(e, 20)
+		expectServed(e)
 	})
 
 	It("brings a revision to a balancer that is cut from the store", func() {
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -186,10 +186,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/agent/returns.go
+++ b/internal/agent/returns.go
@@ -6,16 +6,25 @@
 	"time"
 )
 
-// returnWindow is how long a balancer stays in the rotation after it was last heard of.
-const returnWindow = time.Second
+const (
+	// returnWindow is how long a balancer stays in the rotation after it was last heard of.
+	returnWindow = time.Second
+	// maxReturnPaths is the number of balancers in the rotation. When it is full, a balancer enters only in the place of
+	// one that has left the window.
+	maxReturnPaths = 64
+)
 
-// returns is the rotation of the balancers that carry answers. Answers rotate over all balancers heard of within the
+// returns is the rotation of the balancers that carry answers. Answers rotate over the balancers heard of within the
 // window, so that the loss of one balancer loses a share of the answers only until the window ends.
 type returns struct {
-	mu        sync.Mutex
-	balancers []returnPath
-	position  int
-	now       func() time.Time
+	mu    sync.Mutex
+	paths []returnPath
+	// places maps a balancer to its index in paths.
+	places map[netip.AddrPort]int
+	// position is the path that was used last, oldest the one looked at last for replacement.
+	position int
+	oldest   int
+	now      func() time.Time
 }
 
 type returnPath struct {
@@ -24,7 +33,7 @@
 }
 
 func newReturns() *returns {
-	return &returns{now: time.Now}
+	return &returns{now: time.Now, places: make(map[netip.AddrPort]int)}
 }
 
 // heard records that a datagram of the balancer has arrived.
@@ -34,13 +43,33 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i := range r.balancers {
-		if r.balancers[i].balancer == balancer {
-			r.balancers[i].at = r.now()
-			return
-		}
+	now := r.now()
+	place, isKnown := r.places[balancer]
+	switch {
+	case isKnown:
+		r.paths[place].at = now
+	case len(r.paths) < maxReturnPaths:
+		r.places[balancer] = len(r.paths)
+		r.paths = append(r.paths, returnPath{balancer: balancer, at: now})
+	default:
+		r.replace(balancer, now)
+	}
+}
+
+// replace puts a balancer in the place of the next one in turn, if that has left the window.
+func (r *returns) replace(balancer netip.AddrPort, now time.Time) {
+	r.oldest = (r.oldest + 1) % len(r.paths)
+	path := &r.paths[r.oldest]
+	if path.isLive(now) {
+		return
 	}
-	r.balancers = append(r.balancers, returnPath{balancer: balancer, at: r.now()})
+	delete(r.places, path.balancer)
+	r.places[balancer] = r.oldest
+	*path = returnPath{balancer: balancer, at: now}
+}
+
+func (p returnPath) isLive(now time.Time) bool {
+	return now.Sub(p.at) < returnWindow
 }
 
 // next returns the balancer for the next answer. When none was heard of within the window it returns the one heard
@@ -48,20 +77,20 @@
 func (r *returns) next() (netip.AddrPort, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	oldest := r.now().Add(-returnWindow)
+	now := r.now()
 	latest := -1
-	for range r.balancers {
-		r.position = (r.position + 1) % len(r.balancers)
-		p := r.balancers[r.position]
-		if p.at.After(oldest) {
+	for range r.paths {
+		r.position = (r.position + 1) % len(r.paths)
+		p := r.paths[r.position]
+		if p.isLive(now) {
 			return p.balancer, true
 		}
-		if latest < 0 || p.at.After(r.balancers[latest].at) {
+		if latest < 0 || p.at.After(r.paths[latest].at) {
 			latest = r.position
 		}
 	}
 	if latest < 0 {
 		return netip.AddrPort{}, false
 	}
-	return r.balancers[latest].balancer, true
+	return r.paths[latest].balancer, true
 }
