--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"gentianswitch/internal/balancer"
+	"gentianswitch/internal/member"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
@@ -25,12 +26,14 @@
 func run(args []string) int {
 	var common settings.Common
 	var own balancer.Settings
-	var bindIP string
+	var bindIP, detection string
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	common.Define(fs)
 	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
 	fs.StringVar(&bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
 	settings.AddrPortsVar(fs, &own.Peers, "peers", "control addresses of balancers from which this one learns the others")
+	fs.StringVar(&detection, "detection", member.Conservative.String(),
+		"when a target or a balancer has failed: conservative (none of its observers hears it) or aggressive (one does not)")
 	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
 	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer-quito.yaml", os.Stderr)
 	if err != nil {
@@ -46,6 +49,9 @@
 	if own.Store == "" {
 		return program.ReportUsage(name, eris.New("setting store: missing, expected host:port"))
 	}
+	if own.Detection, err = member.DetectionByName(detection); err != nil {
+		return program.ReportUsage(name, err)
+	}
 	if bindIP != "" {
 		if own.BindIP, err = netip.ParseAddr(bindIP); err != nil {
 			return program.ReportUsage(name, err)
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Intervals and bounds of membership.
@@ -41,6 +43,24 @@
 	Aggressive
 )
 
+// String returns the name that settings use.
+func (d Detection) String() string {
+	if d == Aggressive {
+		return "aggressive"
+	}
+	return "conservative"
+}
+
+// DetectionByName returns the strategy with the given name.
+func DetectionByName(name string) (Detection, error) {
+	for _, d := range []Detection{Conservative, Aggressive} {
+		if d.String() == name {
+			return d, nil
+		}
+	}
+	return Conservative, eris.Errorf("setting detection: %q, expected conservative or aggressive", name)
+}
+
 // Settings are the settings of a Machine.
 type Settings struct {
 	Self      Balancer
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -30,6 +30,7 @@
 	connected map[int]bool
 	views     map[netip.AddrPort]Target
 	readied   map[netip.AddrPort][]time.Time
+	removed   map[netip.AddrPort][]time.Time
 	problems  []string
 }
 
@@ -76,6 +77,7 @@
 	n.isUp, n.isPaused = true, false
 	n.inbox, n.connected = nil, make(map[int]bool)
 	n.views, n.readied = make(map[netip.AddrPort]Target), make(map[netip.AddrPort][]time.Time)
+	n.removed = make(map[netip.AddrPort][]time.Time)
 }
 
 func (w *world) stopNode(i int) {
@@ -247,6 +249,9 @@
 	if t.State == Ready && before.State == Failed {
 		n.readied[t.Agent] = append(n.readied[t.Agent], now)
 	}
+	if t.State == Failed {
+		n.removed[t.Agent] = append(n.removed[t.Agent], now)
+	}
 	n.views[t.Agent] = t
 }
 
