--- a/integration/flows_test.go
+++ b/integration/flows_test.go
@@ -21,17 +21,20 @@
 
 	It("survive a restart of each balancer in turn", func() {
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		for _, b := range e.Balancers {
 			Expect(b.Restart(stopLimit)).To(Succeed())
 			Expect(e.AwaitBalancer(b)).To(Succeed())
 		}
 		fresh.expectServed()
+		talks.expectUnbroken()
 		open.expectWhole()
 	})
 
 	It("survive the replacement of all balancers at once", func() {
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		for _, b := range e.Balancers {
 			Expect(b.Signal(syscall.SIGTERM)).To(Succeed())
@@ -42,6 +45,7 @@
 		}
 		Expect(e.AwaitBalancers()).To(Succeed())
 		fresh.expectServed()
+		talks.expectUnbroken()
 		open.expectWhole()
 	})
 
@@ -54,6 +58,22 @@
 		open.expectWhole()
 	})
 
+	It("survive two balancers killed without warning and replaced 2 s later", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
+		fresh := startArrivals(e)
+		for _, b := range e.Balancers[:2] {
+			Expect(b.Kill()).To(Succeed())
+		}
+		time.Sleep(2 * time.Second)
+		for _, b := range e.Balancers[:2] {
+			Expect(b.Start()).To(Succeed())
+		}
+		open.expectWhole()
+		talks.expectUnbroken()
+		fresh.expectServed()
+	})
+
 	It("survive the drain of two targets, whose agents end by themselves", func() {
 		open := openFeeds(e, feedCount, feedEvents)
 		fresh := startArrivals(e)
@@ -72,8 +92,10 @@
 	DescribeTable("survive faults of the fabric", func(faults fabric.Faults) {
 		Expect(e.SetFabricFaults(faults)).To(Succeed())
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		open.expectWhole()
+		talks.expectUnbroken()
 		fresh.expectServed()
 	},
 		Entry("loss of 5 %", fabric.Faults{Loss: 0.05}),
@@ -84,11 +106,13 @@
 
 	It("survive a path cut of 2 s", func() {
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		Expect(e.SetFabricFaults(fabric.Faults{Cut: true})).To(Succeed())
 		time.Sleep(2 * time.Second)
 		Expect(e.SetFabricFaults(fabric.Faults{})).To(Succeed())
 		fresh.expectServed()
+		talks.expectUnbroken()
 		open.expectWhole()
 	})
 })
--- a/integration/traffic_test.go
+++ b/integration/traffic_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -125,6 +126,76 @@
 	return caller.Do(ctx, request)
 }
 
+// conversations are flows on each of which requests follow one another. A flow that no longer carries the caller's
+// datagrams shows at its next request, while a feed may live on what the agent sends.
+type conversations struct {
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
+	mu     sync.Mutex
+	done   int
+	failed []string
+}
+
+const (
+	conversationCount    = 10
+	conversationInterval = 200 * time.Millisecond
+)
+
+func startConversations(e *emulator.Emulator) *conversations {
+	GinkgoHelper()
+	ctx, stop := context.WithCancel(context.Background())
+	c := &conversations{stop: stop}
+	for i := range conversationCount {
+		caller := newCaller(e, emulator.PortShort)
+		c.ended.Go(func() { c.talk(ctx, e, caller, i) })
+	}
+	return c
+}
+
+func (c *conversations) talk(ctx context.Context, e *emulator.Emulator, caller *callers.Caller, flow int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c.record(do(e, caller, emulator.PortShort, callers.Request{
+			ID: fmt.Sprintf("flow-%d-%d", flow, n), Class: class.Short, Work: time.Millisecond, Body: []byte("notice"),
+		}))
+		select {
+		case <-ctx.Done():
+		case <-time.After(conversationInterval):
+		}
+	}
+}
+
+func (c *conversations) record(r callers.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Outcome == callers.Done {
+		c.done++
+		return
+	}
+	c.failed = append(c.failed, fmt.Sprintf("%s: %s status %d: %v", r.Request, r.Outcome, r.Status, r.Err))
+}
+
+// awaitProgress waits until two more requests for each flow have ended.
+func (c *conversations) awaitProgress() {
+	GinkgoHelper()
+	before := c.count()
+	Eventually(c.count, callTimeout).Should(BeNumerically(">=", before+2*conversationCount))
+}
+
+func (c *conversations) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.done + len(c.failed)
+}
+
+// expectUnbroken ends the conversations and checks that every request was answered on its flow.
+func (c *conversations) expectUnbroken() {
+	GinkgoHelper()
+	c.stop()
+	c.ended.Wait()
+	Expect(c.done).To(BeNumerically(">", conversationCount))
+	Expect(c.failed).To(BeEmpty(), "%d requests on open flows failed, %d were answered", len(c.failed), c.done)
+}
+
 // newCaller returns a caller for the route on the given port that lives until the end of the spec.
 func newCaller(e *emulator.Emulator, port uint16) *callers.Caller {
 	GinkgoHelper()
