Take a balancer that stops out of the agents' rotations

Cause: agents went on answering through a balancer that had stopped until it had not been heard of for 1 s. Change: on SIGTERM a balancer tells the agents in the envelope kind Leave, answers Leave to each answer that still arrives, no longer offers itself with what it delivers, and carries answers for 300 ms more. Ruled out: telling every agent of the deployment, which costs a burst that grows with the fleet; those that return through this balancer are the ones that need to know.

--- a/integration/flows_test.go
+++ b/integration/flows_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -32,6 +33,24 @@
 		open.expectWhole()
 	})
 
+	It("send no more answers to a balancer that has stopped", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		stopped := e.Balancers[0]
+		Expect(stopped.Stop(stopLimit)).To(Succeed())
+		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(dataAddress(stopped)))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = socket.Close() }()
+		Expect(socket.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+		lost := 0
+		for buffer := make([]byte, 2048); ; lost++ {
+			if _, err := socket.Read(buffer); err != nil {
+				break
+			}
+		}
+		Expect(lost).To(BeZero(), "answers sent to a balancer that has stopped")
+		open.expectWhole()
+	})
+
 	It("survive the replacement of all balancers at once", func() {
 		open := openFeeds(e, feedCount, feedEvents)
 		talks := startConversations(e)
--- a/internal/agent/path.go
+++ b/internal/agent/path.go
@@ -44,9 +44,15 @@
 		a.counters.badEnvelope.Inc(1)
 		return
 	}
-	a.returns.heard(header.Balancer)
-	if header.Kind == envelope.Heartbeat {
+	switch header.Kind {
+	case envelope.Leave:
+		a.returns.left(header.Balancer)
 		return
+	case envelope.Heartbeat:
+		a.returns.heard(header.Balancer)
+		return
+	default:
+		a.returns.heard(header.Balancer)
 	}
 	parsed, err := packet.Parse(payload, connid.Size)
 	if err != nil {
--- a/internal/agent/returns.go
+++ b/internal/agent/returns.go
@@ -43,6 +43,17 @@
 	r.balancers = append(r.balancers, returnPath{balancer: balancer, at: r.now()})
 }
 
+// left takes a balancer that ends out of the rotation.
+func (r *returns) left(balancer netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.balancers {
+		if r.balancers[i].balancer == balancer {
+			r.balancers[i].at = time.Time{}
+		}
+	}
+}
+
 // next returns the balancer for the next answer. When none was heard of within the window it returns the one heard
 // of last; it reports false when none was ever heard of.
 func (r *returns) next() (netip.AddrPort, bool) {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -71,6 +71,7 @@
 	inbound     *ring.Ring[*batch]
 	outbound    *ring.Ring[*batch]
 	counters    counters
+	isLeaving   atomic.Bool
 	group       *duty.Group
 }
 
@@ -140,6 +141,7 @@
 	b.group.Go("stop", func(running context.Context) error {
 		select {
 		case <-ctx.Done():
+			b.retire(running)
 			b.leave(running)
 			b.group.Stop()
 		case <-running.Done():
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -201,7 +201,7 @@
 		events.F("state", c.Balancer.State.String()), events.F("incarnation", c.Balancer.Incarnation))
 }
 
-// sendHeartbeats tells agents that this balancer carries returns.
+// sendHeartbeats tells agents that this balancer carries returns, or that it leaves.
 func (b *Balancer) sendHeartbeats(ctx context.Context) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -217,6 +217,9 @@
 
 func (b *Balancer) heartbeat() {
 	header := envelope.Header{Kind: envelope.Heartbeat, Balancer: b.settings.Data}
+	if b.isLeaving.Load() {
+		header.Kind = envelope.Leave
+	}
 	out := b.takeBatch()
 	out.source = b.fabric
 	for _, agent := range b.state.returnTargets() {
--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -124,7 +124,7 @@
 		Service:  decision.Service,
 		Caller:   caller,
 		Address:  address,
-		Balancer: b.settings.Data,
+		Balancer: b.returnAddress(),
 		Second:   decision.Second,
 	}
 	out.add(envelope.Seal(out.next(), b.keys.Load(), header, datagram), decision.Agent)
@@ -178,6 +178,9 @@
 		out.source = through
 		out.add(append(out.next(), payload...), header.Caller)
 	}
+	if b.isLeaving.Load() {
+		b.answerLeave(received)
+	}
 	b.giveBack(received)
 	b.put(b.toCallers, out)
 }
--- a/internal/balancer/stop.go
+++ b/internal/balancer/stop.go
@@ -1,6 +1,46 @@
 package balancer
 
-import "gentianswitch/internal/ring"
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"gentianswitch/internal/envelope"
+	"gentianswitch/internal/ring"
+)
+
+// retireDuration is how long a balancer that ends carries answers which are on their way.
+const retireDuration = 300 * time.Millisecond
+
+// retire takes this balancer out of the agents' rotations and carries the answers that are on their way.
+func (b *Balancer) retire(ctx context.Context) {
+	b.isLeaving.Store(true)
+	b.heartbeat()
+	select {
+	case <-ctx.Done():
+	case <-time.After(retireDuration):
+	}
+}
+
+// returnAddress is the address at which this balancer takes answers, or the zero AddrPort once it leaves.
+func (b *Balancer) returnAddress() netip.AddrPort {
+	if b.isLeaving.Load() {
+		return netip.AddrPort{}
+	}
+	return b.settings.Data
+}
+
+// answerLeave tells the agents that sent a batch of answers that this balancer leaves. Agents beyond those that get
+// its heartbeats know it from what it delivered.
+func (b *Balancer) answerLeave(received *batch) {
+	header := envelope.Header{Kind: envelope.Leave, Balancer: b.settings.Data}
+	out := b.takeBatch()
+	out.source = b.fabric
+	for i := range received.count {
+		out.add(envelope.Seal(out.next(), b.keys.Load(), header, nil), received.sender(i))
+	}
+	b.put(b.toAgents, out)
+}
 
 // flush carries what stands in the rings to its receivers. It runs once every duty has ended, so that no ring fills
 // while it runs.
--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -30,6 +30,8 @@
 	HandOn Kind = 3
 	// Heartbeat tells an agent that the balancer can carry returns. It has no payload.
 	Heartbeat Kind = 4
+	// Leave tells an agent that the balancer ends and can carry no more returns. It has no payload.
+	Leave Kind = 5
 )
 
 // MaxOverhead is an upper bound of the bytes that Seal adds to a payload.
@@ -73,7 +75,7 @@
 		return hasEnds && h.Class.IsValid()
 	case Return:
 		return hasEnds
-	case Heartbeat:
+	case Heartbeat, Leave:
 		return h.Balancer.IsValid()
 	default:
 		return false
