Place flows in constant time and change the table in parts

Decoding a connection ID allocated its block (TestDecisionsDoNotAllocate: 'open flow: 1 allocations'). Table.WithTargets and WithTables share what does not differ. The hash is keyed. The balancer applies state and table changes under one lock; connection ID blocks come from a pool.

--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -10,6 +10,7 @@
 	"gentianswitch/internal/balancer"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
+	"gentianswitch/internal/route"
 	"gentianswitch/internal/settings"
 	"gentianswitch/internal/store"
 )
@@ -23,11 +24,12 @@
 func run(args []string) int {
 	var common settings.Common
 	var own balancer.Settings
-	var bindIP string
+	var bindIP, placement string
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	common.Define(fs)
 	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
 	fs.StringVar(&bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
+	fs.StringVar(&placement, "placement", route.Slots{}.Name(), "how a target is chosen for a new flow: slots or rendezvous")
 	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
 	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer.yaml", os.Stderr)
 	if err != nil {
@@ -45,6 +47,9 @@
 			return program.ReportUsage(name, err)
 		}
 	}
+	if own.Placement, err = route.StrategyByName(placement); err != nil {
+		return program.ReportUsage(name, err)
+	}
 	return start(&common, own)
 }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -6,20 +6,22 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
-	"gentianswitch/internal/connid"
 	"gentianswitch/internal/control"
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/keys"
+	"gentianswitch/internal/member"
 	"gentianswitch/internal/ring"
 	"gentianswitch/internal/route"
 	"gentianswitch/internal/store"
+	"gentianswitch/internal/tables"
 )
 
 // Settings are the checked settings of a balancer.
@@ -34,6 +36,8 @@
 	BindIP netip.Addr
 	// Networks are the networks in which agents live. An empty list allows every address.
 	Networks []netip.Prefix
+	// Placement chooses the target of a new flow among those of a pool in one zone.
+	Placement route.Strategy
 	// Store is the address of the platform's store.
 	Store string
 }
@@ -51,18 +55,19 @@
 	credentials *control.Credentials
 	store       store.Store
 	keys        atomic.Pointer[keys.Set]
-	codec       atomic.Pointer[connid.Codec]
-	table       atomic.Pointer[route.Table]
-	state       *state
-	fabric      *listener
-	listeners   *listeners
-	free        *ring.Ring[*batch]
-	toAgents    *ring.Ring[*batch]
-	toCallers   *ring.Ring[*batch]
-	inbound     *ring.Ring[*batch]
-	outbound    *ring.Ring[*batch]
-	counters    counters
-	group       *duty.Group
+	// changes is held while the state and the table change together, so that both see changes in one order.
+	changes   sync.Mutex
+	table     atomic.Pointer[route.Table]
+	state     *state
+	fabric    *listener
+	listeners *listeners
+	free      *ring.Ring[*batch]
+	toAgents  *ring.Ring[*batch]
+	toCallers *ring.Ring[*batch]
+	inbound   *ring.Ring[*batch]
+	outbound  *ring.Ring[*batch]
+	counters  counters
+	group     *duty.Group
 }
 
 // New returns a balancer that is not yet running.
@@ -85,25 +90,36 @@
 		counters:    newCounters(scope),
 	}
 	b.listeners = newListeners(settings.BindIP)
-	return b, b.SetKeys(set)
+	table, err := route.NewTable(set, settings.Networks, settings.Placement)
+	if err != nil {
+		return nil, err
+	}
+	b.keys.Store(set)
+	b.table.Store(table)
+	return b, nil
 }
 
 // SetKeys replaces the keys of connection IDs and envelopes.
 func (b *Balancer) SetKeys(set *keys.Set) error {
-	codec, err := connid.NewCodec(set)
+	b.changes.Lock()
+	defer b.changes.Unlock()
+	next, err := b.table.Load().WithKeys(set)
 	if err != nil {
 		return err
 	}
 	b.keys.Store(set)
-	b.codec.Store(codec)
-	b.rebuild()
+	b.table.Store(next)
 	return nil
 }
 
-// rebuild compiles the routing table from the present keys, tables and targets.
-func (b *Balancer) rebuild() {
-	declared, targets := b.state.view()
-	b.table.Store(route.NewTable(b.codec.Load(), b.settings.Networks, declared, targets))
+// updateTargets changes the targets of the routing table. The caller holds changes.
+func (b *Balancer) updateTargets(removed, added []member.Target) {
+	b.table.Store(b.table.Load().WithTargets(removed, added))
+}
+
+// updateTables changes the routes and pools of the routing table. The caller holds changes.
+func (b *Balancer) updateTables(declared *tables.Tables) {
+	b.table.Store(b.table.Load().WithTables(declared))
 }
 
 // Run serves until ctx ends and every datagram that was read has been sent.
--- a/internal/balancer/configuration.go
+++ b/internal/balancer/configuration.go
@@ -39,10 +39,18 @@
 
 func (b *Balancer) applyEntry(entry store.Entry) {
 	declared, err := tables.Parse(entry.Value)
-	if err != nil || !b.state.apply(uint64(entry.Version), declared) {
+	if err != nil {
+		return
+	}
+	b.changes.Lock()
+	isNewer := b.state.apply(uint64(entry.Version), declared)
+	if isNewer {
+		b.updateTables(declared)
+	}
+	b.changes.Unlock()
+	if !isNewer {
 		return
 	}
-	b.rebuild()
 	b.openListeners(declared)
 	b.log.Emit(events.RevisionApplied, events.F("revision", uint64(entry.Version)), events.F("source", "store"))
 }
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -31,7 +31,7 @@
 }
 
 func (b *Balancer) status() *control.Status {
-	_, targets := b.state.view()
+	targets := b.state.view()
 	b.state.mu.Lock()
 	defer b.state.mu.Unlock()
 	return &control.Status{
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -15,10 +15,13 @@
 )
 
 func (b *Balancer) announce(target member.Target) {
-	if !b.state.announce(time.Now(), target) {
+	b.changes.Lock()
+	defer b.changes.Unlock()
+	before, isChanged := b.state.announce(time.Now(), target)
+	if !isChanged {
 		return
 	}
-	b.rebuild()
+	b.updateTargets([]member.Target{before}, []member.Target{target})
 	b.logTarget(target, "announced")
 }
 
@@ -36,17 +39,23 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			failed := b.state.expire(now, targetTimeout)
-			if len(failed) > 0 {
-				b.rebuild()
-			}
-			for _, t := range failed {
-				b.logTarget(t, "no heartbeat within the timeout")
-			}
+			b.expire(now)
 		}
 	}
 }
 
+func (b *Balancer) expire(now time.Time) {
+	b.changes.Lock()
+	defer b.changes.Unlock()
+	failed := b.state.expire(now, targetTimeout)
+	if len(failed) > 0 {
+		b.updateTargets(failed, nil)
+	}
+	for _, t := range failed {
+		b.logTarget(t, "no heartbeat within the timeout")
+	}
+}
+
 // sendHeartbeats tells every agent that this balancer carries returns.
 func (b *Balancer) sendHeartbeats(ctx context.Context) error {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -62,7 +71,7 @@
 }
 
 func (b *Balancer) heartbeat() {
-	_, targets := b.state.view()
+	targets := b.state.view()
 	header := envelope.Header{Kind: envelope.Heartbeat, Balancer: b.settings.Data}
 	out := b.takeBatch()
 	out.source = b.fabric
--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -131,7 +131,7 @@
 		}
 		b.log.Emit(events.FlowPlaced, events.F("route", d.Route.Name), events.F("pool", d.Route.Pool),
 			events.F("caller", caller.String()), events.F("candidates", candidates),
-			events.F("choice", d.Agent.String()), events.F("reason", "highest rendezvous score"))
+			events.F("choice", d.Agent.String()), events.F("reason", b.table.Load().Strategy().Name()))
 	case d.Verdict == route.DropNoTarget:
 		b.log.Emit(events.FlowRefused, events.F("route", d.Route.Name), events.F("pool", d.Route.Pool),
 			events.F("caller", caller.String()), events.F("reason", "no ready target"))
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -27,15 +27,15 @@
 	return &state{declared: &tables.Tables{}, targets: make(map[netip.AddrPort]heard)}
 }
 
-// view returns the tables in force and the known targets.
-func (s *state) view() (*tables.Tables, []member.Target) {
+// view returns the known targets.
+func (s *state) view() []member.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := make([]member.Target, 0, len(s.targets))
 	for _, h := range s.targets {
 		targets = append(targets, h.target)
 	}
-	return s.declared, targets
+	return targets
 }
 
 // apply puts a revision in force and reports false when it is not newer than the present one.
@@ -50,16 +50,17 @@
 	return true
 }
 
-// announce records a target and reports whether it differs from what was known.
-func (s *state) announce(now time.Time, target member.Target) bool {
+// announce records a target. It returns the record known before, the zero Target for none, and reports whether the new
+// one differs.
+func (s *state) announce(now time.Time, target member.Target) (before member.Target, isChanged bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.targets[target.Agent]
 	if ok && known.target.IsNewerThan(target) {
-		return false
+		return known.target, false
 	}
 	s.targets[target.Agent] = heard{target: target, at: now}
-	return !ok || known.target != target
+	return known.target, !ok || known.target != target
 }
 
 // expire marks targets that were not heard of within timeout as failed and returns them.
--- a/internal/connid/connid.go
+++ b/internal/connid/connid.go
@@ -10,6 +10,7 @@
 	"crypto/cipher"
 	"encoding/binary"
 	"net/netip"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -91,6 +92,9 @@
 	return out
 }
 
+// blocks holds the plain blocks of Decode: the cipher is an interface, so that a local one would be allocated each time.
+var blocks sync.Pool
+
 // Decode returns the content of the connection ID raw. It fails with ErrSize, ErrKey or ErrCheck.
 func (c *Codec) Decode(raw []byte) (ID, error) {
 	if len(raw) != Size {
@@ -100,7 +104,11 @@
 	if cipherBlock == nil {
 		return ID{}, ErrKey
 	}
-	var block [aes.BlockSize]byte
+	block, ok := blocks.Get().(*[aes.BlockSize]byte)
+	if !ok {
+		block = new([aes.BlockSize]byte)
+	}
+	defer blocks.Put(block)
 	cipherBlock.Decrypt(block[:], raw[1:])
 	nonce := binary.BigEndian.Uint32(block[offsetNonce:])
 	id := ID{
--- a/internal/route/group.go
+++ b/internal/route/group.go
@@ -1,101 +1,158 @@
 package route
 
 import (
-	"encoding/binary"
-	"math"
+	"cmp"
 	"net/netip"
+	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"gentianswitch/internal/member"
-	"gentianswitch/internal/tables"
 )
 
 // candidate is a ready target of a pool.
 type candidate struct {
 	agent  netip.AddrPort
-	zone   string
 	seed   uint64
 	weight float64
 }
 
-// group is the set of ready targets of one pool.
-type group struct {
-	service    uint16
-	candidates []candidate
+func newCandidate(target member.Target) candidate {
+	raw, _ := target.Agent.MarshalBinary()
+	return candidate{agent: target.Agent, seed: xxhash.Sum64(raw), weight: float64(target.Slots)}
 }
 
-func newGroups(pools []tables.Pool, targets []member.Target) map[string]*group {
-	byService := make(map[uint16]*group, len(pools))
-	byPool := make(map[string]*group, len(pools))
-	for _, p := range pools {
-		g := &group{service: p.Service}
-		byService[p.Service] = g
-		byPool[p.Name] = g
-	}
-	for _, target := range targets {
-		g := byService[target.Service]
-		if g == nil || target.State != member.Ready {
-			continue
-		}
-		g.candidates = append(g.candidates, newCandidate(target))
+func compareCandidates(a, b candidate) int {
+	if a.seed != b.seed {
+		return cmp.Compare(a.seed, b.seed)
 	}
-	return byPool
+	return a.agent.Compare(b.agent)
 }
 
-func newCandidate(target member.Target) candidate {
-	return candidate{
-		agent:  target.Agent,
-		zone:   target.Zone,
-		seed:   xxhash.Sum64String(target.Agent.String()),
-		weight: float64(target.Slots),
+// zone holds the ready targets of one pool in one availability zone. It is immutable.
+type zone struct {
+	name   string
+	seed   uint64
+	weight float64
+	// candidates are in the order of compareCandidates.
+	candidates []candidate
+	chooser    chooser
+}
+
+func newZone(name string, candidates []candidate, strategy Strategy) *zone {
+	z := &zone{name: name, seed: xxhash.Sum64String(name), candidates: candidates, chooser: strategy.compile(candidates)}
+	for i := range candidates {
+		z.weight += candidates[i].weight
 	}
+	return z
+}
+
+// group is the set of ready targets of one pool. It is immutable, and groups share the zones that do not differ.
+type group struct {
+	// zones are in the order of their names.
+	zones []*zone
 }
 
-// pick returns the first and the second candidate for a flow by weighted rendezvous hashing. The second one is of
-// another availability zone when there is one, so that the loss of a zone leaves every flow a candidate.
-func (g *group) pick(flow []byte) (first, second netip.AddrPort) {
-	if g == nil || len(g.candidates) == 0 {
+// pick returns the first and the second candidate for a flow. A zone is chosen by weighted rendezvous hashing, a
+// target in it by the strategy. The second candidate is of another zone when there is one, so that the loss of a zone
+// leaves every flow a candidate.
+func (g *group) pick(flow uint64) (first, second netip.AddrPort) {
+	if g == nil || len(g.zones) == 0 {
 		return netip.AddrPort{}, netip.AddrPort{}
 	}
-	hash := xxhash.Sum64(flow)
-	best := g.best(hash, func(candidate) bool { return true })
-	zone := g.candidates[best].zone
-	other := g.best(hash, func(c candidate) bool { return c.zone != zone })
-	if other < 0 {
-		agent := g.candidates[best].agent
-		other = g.best(hash, func(c candidate) bool { return c.agent != agent })
+	best, other := g.rank(flow)
+	chosen := best.chooser.choose(flow)
+	first = best.candidates[chosen].agent
+	if other != nil {
+		return first, other.candidates[other.chooser.choose(flow)].agent
 	}
-	if other >= 0 {
-		second = g.candidates[other].agent
-	}
-	return g.candidates[best].agent, second
+	return first, best.another(flow, chosen)
 }
 
-// best returns the index of the allowed candidate with the highest score, or -1.
-func (g *group) best(hash uint64, isAllowed func(candidate) bool) int {
-	found := -1
-	top := math.Inf(-1)
-	for i, c := range g.candidates {
-		if !isAllowed(c) {
-			continue
+// rank returns the two zones with the highest scores; the second is nil when there is one zone.
+func (g *group) rank(flow uint64) (best, other *zone) {
+	if len(g.zones) == 1 {
+		return g.zones[0], nil
+	}
+	var top, next float64
+	for _, z := range g.zones {
+		s := score(flow, z.seed, z.weight)
+		switch {
+		case best == nil || s > top:
+			best, other, top, next = z, best, s, top
+		case other == nil || s > next:
+			other, next = z, s
 		}
-		if s := score(hash, c); s > top {
-			found, top = i, s
+	}
+	return best, other
+}
+
+// another returns a candidate other than the chosen one, or the zero AddrPort.
+func (z *zone) another(flow uint64, chosen int) netip.AddrPort {
+	if len(z.candidates) < 2 {
+		return netip.AddrPort{}
+	}
+	again := probes{state: flow}
+	for range maxProbes {
+		if i := z.chooser.choose(again.next()); i != chosen {
+			return z.candidates[i].agent
 		}
 	}
-	return found
+	return z.candidates[(chosen+1)%len(z.candidates)].agent
 }
 
-// score is the weighted rendezvous score: weight / -ln(u) for a uniform u drawn from the flow and the candidate.
-func score(hash uint64, c candidate) float64 {
-	const mantissaBits = 53
-	u := (float64(mix(hash^c.seed)>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
-	return c.weight / -math.Log(u)
+// change is what becomes of the candidates of one zone.
+type change struct {
+	removed []netip.AddrPort
+	added   []candidate
+}
+
+// with returns a group with the changes applied; it compiles only the zones that are named.
+func (g *group) with(changes map[string]*change, strategy Strategy) *group {
+	next := &group{}
+	if g != nil {
+		next.zones = slices.Clone(g.zones)
+	}
+	for name, c := range changes {
+		at, isKnown := slices.BinarySearchFunc(next.zones, name, func(z *zone, name string) int {
+			return strings.Compare(z.name, name)
+		})
+		var present []candidate
+		if isKnown {
+			present = next.zones[at].candidates
+			next.zones = slices.Delete(next.zones, at, at+1)
+		}
+		if left := c.apply(present); len(left) > 0 {
+			next.zones = slices.Insert(next.zones, at, newZone(name, left, strategy))
+		}
+	}
+	return next
 }
 
-func mix(v uint64) uint64 {
-	var raw [8]byte
-	binary.LittleEndian.PutUint64(raw[:], v)
-	return xxhash.Sum64(raw[:])
+// apply returns the candidates after the change. An agent that is added again replaces its old record.
+func (c *change) apply(present []candidate) []candidate {
+	dropped := make(map[netip.AddrPort]struct{}, len(c.removed)+len(c.added))
+	for _, agent := range c.removed {
+		dropped[agent] = struct{}{}
+	}
+	latest := make(map[netip.AddrPort]candidate, len(c.added))
+	for _, a := range c.added {
+		dropped[a.agent] = struct{}{}
+		latest[a.agent] = a
+	}
+	left := make([]candidate, 0, len(present)+len(latest))
+	for i := range present {
+		if _, ok := dropped[present[i].agent]; !ok {
+			left = append(left, present[i])
+		}
+	}
+	if len(latest) == 0 {
+		return left
+	}
+	for _, a := range latest {
+		left = append(left, a)
+	}
+	slices.SortFunc(left, compareCandidates)
+	return left
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,7 +7,6 @@
 
 	"gentianswitch/internal/class"
 	"gentianswitch/internal/connid"
-	"gentianswitch/internal/member"
 	"gentianswitch/internal/packet"
 	"gentianswitch/internal/tables"
 )
@@ -58,32 +57,6 @@
 	Route *tables.Route
 }
 
-type entry struct {
-	route *tables.Route
-	group *group
-}
-
-// Table is an immutable routing table.
-type Table struct {
-	codec     *connid.Codec
-	networks  []netip.Prefix
-	byAddress map[netip.AddrPort]entry
-}
-
-// NewTable compiles a table from the declared tables and the live targets. Connection IDs that name an agent outside
-// networks are dropped; an empty list allows every address.
-func NewTable(
-	codec *connid.Codec, networks []netip.Prefix, declared *tables.Tables, targets []member.Target,
-) *Table {
-	t := &Table{codec: codec, networks: networks, byAddress: make(map[netip.AddrPort]entry, len(declared.Routes))}
-	groups := newGroups(declared.Pools, targets)
-	for i := range declared.Routes {
-		r := &declared.Routes[i]
-		t.byAddress[r.Address] = entry{route: r, group: groups[r.Pool]}
-	}
-	return t
-}
-
 // Decide returns the decision for a datagram that a caller sent to address.
 func (t *Table) Decide(address netip.AddrPort, datagram []byte) Decision {
 	header, err := packet.Parse(datagram, connid.Size)
@@ -120,16 +93,16 @@
 }
 
 func (t *Table) place(address netip.AddrPort, flow []byte) Decision {
-	e, ok := t.byAddress[address]
+	e, ok := t.routes.get(address)
 	if !ok {
 		return Decision{Verdict: DropNoRoute}
 	}
-	first, second := e.group.pick(flow)
+	first, second := t.groups.get(e.service).pick(t.hash.sum(flow))
 	if !first.IsValid() {
 		return Decision{Verdict: DropNoTarget, Route: e.route}
 	}
 	return Decision{
 		Verdict: Place, Agent: first, Second: second,
-		Service: e.group.service, Class: e.route.Class, Route: e.route,
+		Service: e.service, Class: e.route.Class, Route: e.route,
 	}
 }
--- /dev/null
+++ b/internal/route/slots.go
@@ -0,0 +1,111 @@
+package route
+
+import (
+	"math"
+	"math/bits"
+)
+
+// Bounds of a slot table.
+const (
+	// slotsPerUnit keeps the table at most half full, so that a flow finds a target after a few probes.
+	slotsPerUnit = 2
+	// maxProbes bounds the work for one flow. What is left after it takes the next claimed slot.
+	maxProbes = 256
+	// maxUnitMeans bounds the weight of a slot, in mean weights, and so the share of draws that are refused.
+	maxUnitMeans = 4
+)
+
+// slot is claimed by one candidate, or empty when accept is 0.
+type slot struct {
+	candidate uint32
+	// accept is the share of the flows on this slot that the candidate takes, scaled to 2^32-1.
+	accept uint32
+}
+
+// slotTable chooses a candidate by rejection sampling. Each candidate claims slots in proportion to its weight; a flow
+// draws slots until one accepts it. The layout depends on the set of candidates alone, and a candidate that leaves
+// gives up its own flows and few others.
+type slotTable struct {
+	slots []slot
+	mask  uint64
+}
+
+// Slots is the strategy that chooses in constant time.
+type Slots struct{}
+
+var _ Strategy = Slots{}
+
+// Name implements Strategy.
+func (Slots) Name() string { return "slots" }
+
+func (Slots) compile(candidates []candidate) chooser {
+	unit := unitWeight(candidates)
+	claims := 0
+	for i := range candidates {
+		claims += claimsOf(candidates[i].weight, unit)
+	}
+	size := uint64(1) << bits.Len64(uint64(slotsPerUnit*claims-1))
+	t := &slotTable{slots: make([]slot, size), mask: size - 1}
+	for i := range candidates {
+		t.claim(uint32(i), candidates[i], unit)
+	}
+	return t
+}
+
+// unitWeight returns the weight of a slot that accepts every flow: the largest weight, rounded up to a power of two so
+// that it seldom changes. Weights far above the mean take several slots.
+func unitWeight(candidates []candidate) float64 {
+	total, largest := 0.0, 0.0
+	for i := range candidates {
+		total += candidates[i].weight
+		largest = math.Max(largest, candidates[i].weight)
+	}
+	mean := total / float64(len(candidates))
+	return math.Exp2(math.Ceil(math.Log2(math.Min(largest, maxUnitMeans*mean))))
+}
+
+func claimsOf(weight, unit float64) int {
+	return int(math.Ceil(weight / unit))
+}
+
+// claim takes the first empty slots of the candidate's own sequence. Candidates claim in the order of their seeds, so
+// that every balancer builds the same layout.
+func (t *slotTable) claim(index uint32, c candidate, unit float64) {
+	sequence := probes{state: c.seed}
+	for left := c.weight; left > 0; left -= unit {
+		at := sequence.next() & t.mask
+		for t.slots[at].accept != 0 {
+			at = sequence.next() & t.mask
+		}
+		share := math.Min(left/unit, 1)
+		t.slots[at] = slot{candidate: index, accept: uint32(math.Max(share*math.MaxUint32, 1))}
+	}
+}
+
+func (t *slotTable) choose(flow uint64) int {
+	sequence := probes{state: flow}
+	at := uint64(0)
+	for range maxProbes {
+		draw := sequence.next()
+		at = draw & t.mask
+		s := t.slots[at]
+		if uint32(draw>>32) < s.accept {
+			return int(s.candidate)
+		}
+	}
+	for t.slots[at].accept == 0 {
+		at = (at + 1) & t.mask
+	}
+	return int(t.slots[at].candidate)
+}
+
+// probes is a SplitMix64 sequence of pseudo-random numbers.
+type probes struct{ state uint64 }
+
+func (p *probes) next() uint64 {
+	p.state += 0x9e3779b97f4a7c15
+	z := p.state
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,140 @@
+package route
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/dchest/siphash"
+
+	"gentianswitch/internal/connid"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/member"
+	"gentianswitch/internal/tables"
+)
+
+// Table is an immutable routing table. The With methods return a table that shares all parts that do not differ.
+type Table struct {
+	codec    *connid.Codec
+	hash     flowHash
+	networks []netip.Prefix
+	strategy Strategy
+	declared *tables.Tables
+	services map[string]uint16
+	routes   routeIndex
+	groups   groupIndex
+}
+
+// NewTable returns a table without routes and targets. Connection IDs that name an agent outside networks are dropped;
+// an empty list allows every address.
+func NewTable(set *keys.Set, networks []netip.Prefix, strategy Strategy) (*Table, error) {
+	t := &Table{networks: networks, strategy: strategy, declared: &tables.Tables{}}
+	return t.WithKeys(set)
+}
+
+// Strategy returns the strategy that places new flows.
+func (t *Table) Strategy() Strategy {
+	return t.strategy
+}
+
+// WithKeys returns a table that decodes with every key of set. The placement of new flows follows its current key.
+func (t *Table) WithKeys(set *keys.Set) (*Table, error) {
+	codec, err := connid.NewCodec(set)
+	if err != nil {
+		return nil, err
+	}
+	next := *t
+	next.codec = codec
+	next.hash = newFlowHash(set.Current())
+	return &next, nil
+}
+
+// WithTables returns a table with the declared routes and pools. Both may differ in any number of rows from those in
+// force. Rows that stand at the same place, counted from the start or the end, are only compared.
+func (t *Table) WithTables(declared *tables.Tables) *Table {
+	next := *t
+	next.declared = declared
+	old := t.declared.Routes
+	if !slices.Equal(t.declared.Pools, declared.Pools) {
+		next.services = make(map[string]uint16, len(declared.Pools))
+		for i := range declared.Pools {
+			next.services[declared.Pools[i].Name] = declared.Pools[i].Service
+		}
+	}
+	fresh := declared.Routes
+	if maps.Equal(t.services, next.services) {
+		old, fresh = trimEqual(old, fresh)
+	}
+	next.routes = t.routes.replace(old, fresh, next.services)
+	return &next
+}
+
+// trimEqual cuts off the rows that both lists have in common at the start and at the end, and those in between when both
+// are equally long.
+func trimEqual(old, fresh []tables.Route) (oldRest, freshRest []tables.Route) {
+	for len(old) > 0 && len(fresh) > 0 && old[0] == fresh[0] {
+		old, fresh = old[1:], fresh[1:]
+	}
+	for len(old) > 0 && len(fresh) > 0 && old[len(old)-1] == fresh[len(fresh)-1] {
+		old, fresh = old[:len(old)-1], fresh[:len(fresh)-1]
+	}
+	if len(old) != len(fresh) {
+		return old, fresh
+	}
+	for i := range old {
+		if old[i] != fresh[i] {
+			oldRest = append(oldRest, old[i])
+			freshRest = append(freshRest, fresh[i])
+		}
+	}
+	return oldRest, freshRest
+}
+
+// WithTargets returns a table without the removed targets and with the added ones. A removed record must name the
+// service and zone under which it was added. An added one replaces the record of the same agent, service and zone; it
+// is passed over unless it is ready and has slots.
+func (t *Table) WithTargets(removed, added []member.Target) *Table {
+	changes := make(map[uint16]map[string]*change)
+	of := func(target member.Target) *change {
+		zones := changes[target.Service]
+		if zones == nil {
+			zones = make(map[string]*change)
+			changes[target.Service] = zones
+		}
+		if zones[target.Zone] == nil {
+			zones[target.Zone] = &change{}
+		}
+		return zones[target.Zone]
+	}
+	for _, target := range removed {
+		c := of(target)
+		c.removed = append(c.removed, target.Agent)
+	}
+	for _, target := range added {
+		if target.State == member.Ready && target.Slots > 0 {
+			c := of(target)
+			c.added = append(c.added, newCandidate(target))
+		}
+	}
+	next := *t
+	edit := next.groups.edit()
+	for service, zones := range changes {
+		edit.put(service, t.groups.get(service).with(zones, t.strategy))
+	}
+	next.groups = edit.done()
+	return &next
+}
+
+// flowHash hashes the connection IDs that callers choose. It is keyed, so that a caller cannot aim at one target.
+type flowHash struct{ k0, k1 uint64 }
+
+func newFlowHash(key *keys.Key) flowHash {
+	return flowHash{
+		k0: siphash.Hash(0, 0, append([]byte("placement 0"), key.Secret[:]...)),
+		k1: siphash.Hash(0, 0, append([]byte("placement 1"), key.Secret[:]...)),
+	}
+}
+
+func (h flowHash) sum(id []byte) uint64 {
+	return siphash.Hash(h.k0, h.k1, id)
+}
