--- a/internal/agent/path.go
+++ b/internal/agent/path.go
@@ -56,43 +56,33 @@
 	id, err := a.codec.Load().Decode(parsed.DestinationID)
 	switch {
 	case err == nil:
-		a.continueFlow(id, header, payload)
+		a.continueFlow(id, parsed, header, payload)
 	case parsed.OpensFlow:
-		a.openFlow(header, payload)
+		a.openFlow(header, payload, parsed.DestinationID)
 	default:
 		a.counters.unknownFlow.Inc(1)
 	}
 }
 
 // continueFlow passes on a datagram of an open flow. A datagram for another service or address is dropped: the VM's
-// address belonged to another agent when the flow was opened.
-func (a *Agent) continueFlow(id connid.ID, header envelope.Header, payload []byte) {
+// address belonged to another agent when the flow was opened. A flow of a former incarnation of this agent has ended,
+// and its caller is told so.
+func (a *Agent) continueFlow(id connid.ID, parsed packet.Header, header envelope.Header, payload []byte) {
 	if id.Service != a.settings.Service || id.Agent != a.settings.Data {
 		a.counters.otherService.Inc(1)
 		return
 	}
-	a.deliver(id.Class, header, payload)
-}
-
-// openFlow accepts the first datagrams of a flow, or hands them on to the second candidate.
-func (a *Agent) openFlow(header envelope.Header, payload []byte) {
-	if header.Service != a.settings.Service {
-		a.counters.otherService.Inc(1)
+	if id.Incarnation == uint16(a.incarnation) {
+		a.deliver(id.Class, header, payload)
 		return
 	}
-	if !a.lifecycle.isDraining() {
-		a.deliver(header.Class, header, payload)
-		return
-	}
-	if header.Kind == envelope.HandOn || !header.Second.IsValid() {
-		a.counters.refusedFlow.Inc(1)
-		return
+	a.counters.formerFlow.Inc(1)
+	if parsed.IsShort {
+		a.resetFlow(parsed.DestinationID, header, len(payload))
 	}
-	a.handOn(header, payload)
 }
 
-func (a *Agent) handOn(header envelope.Header, payload []byte) {
-	second := header.Second
+func (a *Agent) handOn(header envelope.Header, payload []byte, second netip.AddrPort, reason string) {
 	header.Kind = envelope.HandOn
 	header.Second = netip.AddrPort{}
 	sealed := envelope.Seal(nil, a.keys.Load(), header, payload)
@@ -102,7 +92,7 @@
 		return
 	}
 	a.log.Emit(events.FlowHandedOn, events.F("caller", header.Caller.String()),
-		events.F("second", second.String()), events.F("reason", "draining"))
+		events.F("second", second.String()), events.F("reason", reason))
 }
 
 func (a *Agent) deliver(c class.Class, header envelope.Header, payload []byte) {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -40,6 +40,10 @@
 	Placement route.Strategy
 	// Store is the address of the platform's store.
 	Store string
+	// Peers are the control addresses of balancers from which this one learns the others.
+	Peers []netip.AddrPort
+	// Detection is the strategy that decides when a target or a balancer has failed.
+	Detection member.Detection
 }
 
 const (
@@ -55,10 +59,12 @@
 	credentials *control.Credentials
 	store       store.Store
 	keys        atomic.Pointer[keys.Set]
-	// changes is held while the state and the table change together, so that both see changes in one order.
-	changes   sync.Mutex
-	table     atomic.Pointer[route.Table]
-	state     *state
+	table       atomic.Pointer[route.Table]
+	state       *state
+	membership  *membership
+	// tableMu is held while the table is replaced.
+	tableMu   sync.Mutex
+	applyMu   sync.Mutex
 	fabric    *listener
 	listeners *listeners
 	free      *ring.Ring[*batch]
@@ -90,6 +96,7 @@
 		counters:    newCounters(scope),
 	}
 	b.listeners = newListeners(settings.BindIP)
+	b.membership = newMembership(b, time.Now())
 	table, err := route.NewTable(set, settings.Networks, settings.Placement)
 	if err != nil {
 		return nil, err
@@ -101,8 +108,8 @@
 
 // SetKeys replaces the keys of connection IDs and envelopes.
 func (b *Balancer) SetKeys(set *keys.Set) error {
-	b.changes.Lock()
-	defer b.changes.Unlock()
+	b.tableMu.Lock()
+	defer b.tableMu.Unlock()
 	next, err := b.table.Load().WithKeys(set)
 	if err != nil {
 		return err
@@ -112,13 +119,17 @@
 	return nil
 }
 
-// updateTargets changes the targets of the routing table. The caller holds changes.
+// updateTargets changes the targets of the routing table. Only the membership duty calls it.
 func (b *Balancer) updateTargets(removed, added []member.Target) {
+	b.tableMu.Lock()
+	defer b.tableMu.Unlock()
 	b.table.Store(b.table.Load().WithTargets(removed, added))
 }
 
-// updateTables changes the routes and pools of the routing table. The caller holds changes.
+// updateTables changes the routes and pools of the routing table. The caller holds applyMu.
 func (b *Balancer) updateTables(declared *tables.Tables) {
+	b.tableMu.Lock()
+	defer b.tableMu.Unlock()
 	b.table.Store(b.table.Load().WithTables(declared))
 }
 
@@ -133,13 +144,26 @@
 	if err != nil {
 		return eris.Wrap(err, "open control listener")
 	}
-	b.group = duty.NewGroup(ctx)
+	b.group = duty.NewGroup(context.WithoutCancel(ctx))
 	b.startPath()
 	b.group.Go("control", func(ctx context.Context) error {
 		return control.Serve(ctx, controlListener, b.credentials, b.serveControl)
 	})
 	b.group.Go("watch store", b.watchStore)
-	b.group.Go("expire targets", b.expireTargets)
+	b.group.Go("membership", b.membership.run)
 	b.group.Go("heartbeat", b.sendHeartbeats)
-	return b.group.Wait()
+	b.group.Go("stop", func(running context.Context) error {
+		select {
+		case <-ctx.Done():
+			b.leave(running)
+			b.group.Stop()
+		case <-running.Done():
+		}
+		return nil
+	})
+	err = b.group.Wait()
+	b.flush()
+	b.listeners.close()
+	b.fabric.close()
+	return err
 }
--- a/internal/balancer/configuration.go
+++ b/internal/balancer/configuration.go
@@ -1,56 +1,53 @@
 package balancer
 
 import (
-	"context"
-	"time"
-
+	"gentianswitch/internal/control"
 	"gentianswitch/internal/events"
-	"gentianswitch/internal/store"
-	"gentianswitch/internal/tables"
+	"gentianswitch/internal/revision"
 )
 
-const (
-	watchWait  = 10 * time.Second
-	storeRetry = 500 * time.Millisecond
-)
+// sourceStore is the source of revisions that were read from the store.
+const sourceStore = "store"
 
-// watchStore follows the head of the configuration in the store.
-func (b *Balancer) watchStore(ctx context.Context) error {
-	var after store.Version
-	for ctx.Err() == nil {
-		entry, err := b.store.Watch(ctx, tables.HeadKey, after, watchWait)
-		if err != nil {
-			b.storeFailed(ctx, err)
-			continue
-		}
-		after = entry.Version
-		b.applyEntry(entry)
+// applyRevision puts a revision in force if it is newer than the present one. The source, sourceStore or the
+// address of a peer, goes to the log.
+func (b *Balancer) applyRevision(r revision.Revision, source string) revision.Outcome {
+	b.applyMu.Lock()
+	defer b.applyMu.Unlock()
+	b.state.mu.Lock()
+	outcome := b.state.configuration.Apply(r)
+	known, declared := b.state.configuration.ID(), b.state.configuration.Tables()
+	b.state.mu.Unlock()
+	switch outcome {
+	case revision.Applied:
+		b.counters.revision.Update(float64(r.ID.Number))
+		b.updateTables(declared)
+		b.openListeners(declared)
+		b.log.Emit(events.RevisionApplied, events.F("revision", r.ID.Number), events.F("change", r.ID.Change),
+			events.F("source", source))
+	case revision.Same, revision.Gap:
+	default:
+		b.log.Emit(events.RevisionIgnored, events.F("revision", r.ID.Number), events.F("change", r.ID.Change),
+			events.F("known", known.String()), events.F("reason", outcome.String()), events.F("source", source))
 	}
-	return nil
+	return outcome
 }
 
-func (b *Balancer) storeFailed(ctx context.Context, err error) {
-	b.log.Emit(events.StoreUnavailable, events.F("step", "watch"), events.F("peer", b.settings.Store), events.Err(err))
-	select {
-	case <-ctx.Done():
-	case <-time.After(storeRetry):
-	}
+// currentRevision returns the revision in force.
+func (b *Balancer) currentRevision() revision.ID {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.state.configuration.ID()
 }
 
-func (b *Balancer) applyEntry(entry store.Entry) {
-	declared, err := tables.Parse(entry.Value)
-	if err != nil {
-		return
-	}
-	b.changes.Lock()
-	isNewer := b.state.apply(uint64(entry.Version), declared)
-	if isNewer {
-		b.updateTables(declared)
-	}
-	b.changes.Unlock()
-	if !isNewer {
-		return
-	}
-	b.openListeners(declared)
-	b.log.Emit(events.RevisionApplied, events.F("revision", uint64(entry.Version)), events.F("source", "store"))
+// revisionSince returns what brings a process that has the given revision in force to the present one.
+func (b *Balancer) revisionSince(have revision.ID) revision.Revision {
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	return b.state.configuration.Since(have)
+}
+
+func (b *Balancer) acceptOffer(r revision.Revision, peer string) control.RevisionAck {
+	outcome := b.applyRevision(r, peer)
+	return control.RevisionAck{InForce: b.currentRevision(), Outcome: outcome}
 }
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -3,28 +3,22 @@
 import (
 	"net/netip"
 	"sync"
-	"time"
 
 	"gentianswitch/internal/member"
-	"gentianswitch/internal/tables"
+	"gentianswitch/internal/revision"
 )
 
-// heard is a target and when its agent last announced it.
-type heard struct {
-	target member.Target
-	at     time.Time
-}
-
-// state is the run-time state of the control duties: the tables in force and the targets heard of.
+// state is the run-time state that several duties read: the tables in force and the members.
 type state struct {
-	mu       sync.Mutex
-	revision uint64
-	declared *tables.Tables
-	targets  map[netip.AddrPort]heard
+	mu            sync.Mutex
+	configuration *revision.State
+	targets       map[netip.AddrPort]member.Target
+	balancers     []member.Balancer
+	returns       []netip.AddrPort
 }
 
 func newState() *state {
-	return &state{declared: &tables.Tables{}, targets: make(map[netip.AddrPort]heard)}
+	return &state{configuration: revision.NewState(), targets: make(map[netip.AddrPort]member.Target)}
 }
 
 // view returns the known targets.
@@ -32,50 +26,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := make([]member.Target, 0, len(s.targets))
-	for _, h := range s.targets {
-		targets = append(targets, h.target)
+	for _, t := range s.targets {
+		targets = append(targets, t)
 	}
 	return targets
 }
 
-// apply puts a revision in force and reports false when it is not newer than the present one.
-func (s *state) apply(revision uint64, declared *tables.Tables) bool {
+// setTargets takes the changed targets of the membership. It returns the records that they replace.
+func (s *state) setTargets(changed []member.Target) (before []member.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision <= s.revision {
-		return false
+	for _, t := range changed {
+		if known, ok := s.targets[t.Agent]; ok {
+			before = append(before, known)
+		}
 	}
-	s.revision = revision
-	s.declared = declared
-	return true
+	for _, t := range changed {
+		s.targets[t.Agent] = t
+		if t.State == member.Gone {
+			delete(s.targets, t.Agent)
+		}
+	}
+	return before
 }
 
-// announce records a target. It returns the record known before, the zero Target for none, and reports whether the new
-// one differs.
-func (s *state) announce(now time.Time, target member.Target) (before member.Target, isChanged bool) {
+// setMembers takes the live balancers and the agents to which this balancer sends heartbeats.
+func (s *state) setMembers(balancers []member.Balancer, returns []netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known, ok := s.targets[target.Agent]
-	if ok && known.target.IsNewerThan(target) {
-		return known.target, false
-	}
-	s.targets[target.Agent] = heard{target: target, at: now}
-	return known.target, !ok || known.target != target
+	s.balancers = balancers
+	s.returns = returns
 }
 
-// expire marks targets that were not heard of within timeout as failed and returns them.
-func (s *state) expire(now time.Time, timeout time.Duration) []member.Target {
+// liveBalancers returns the live balancers, this one included. The caller must not change the list.
+func (s *state) liveBalancers() []member.Balancer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var failed []member.Target
-	for agent, h := range s.targets {
-		isLive := h.target.State != member.Failed && h.target.State != member.Gone
-		if !isLive || now.Sub(h.at) < timeout {
-			continue
-		}
-		h.target.State = member.Failed
-		s.targets[agent] = h
-		failed = append(failed, h.target)
-	}
-	return failed
+	return s.balancers
+}
+
+// returnTargets returns the agents to which this balancer sends heartbeats. The caller must not change the list.
+func (s *state) returnTargets() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returns
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -26,8 +26,11 @@
 }
 
 // NewTable returns a table without routes and targets. Connection IDs that name an agent outside networks are dropped;
-// an empty list allows every address.
+// an empty list allows every address. A nil strategy stands for Slots.
 func NewTable(set *keys.Set, networks []netip.Prefix, strategy Strategy) (*Table, error) {
+	if strategy == nil {
+		strategy = Slots{}
+	}
 	t := &Table{networks: networks, strategy: strategy, declared: &tables.Tables{}}
 	return t.WithKeys(set)
 }
