--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -86,12 +86,16 @@
 
 func (b *Balancer) forwardBatch(received *batch) {
 	out := b.takeBatch()
+	b.forwardInto(received, out)
+	b.giveBack(received)
+	b.put(b.toAgents, out)
+}
+
+func (b *Balancer) forwardInto(received, out *batch) {
 	out.source = b.fabric
 	for i := range received.count {
 		b.forward(received.source, received.datagram(i), received.sender(i), out)
 	}
-	b.giveBack(received)
-	b.put(b.toAgents, out)
 }
 
 // put passes a batch on, or drops and counts it when the ring is full.
--- /dev/null
+++ b/internal/balancer/relay_test.go
@@ -0,0 +1,244 @@
+package balancer
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/connid"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/store"
+)
+
+// Sizes of the relay experiment.
+const (
+	relayRounds      = 7
+	relayRound       = 300 * time.Millisecond
+	relayPayload     = 1200
+	relaySenders     = 2
+	relayTargetRatio = 0.8
+)
+
+// relay is one way to carry datagrams from a front address to the sink.
+type relay struct {
+	name  string
+	start func(b *testing.B, sink netip.AddrPort) (front netip.AddrPort, stop func())
+}
+
+// BenchmarkRelay saturates each relay in turn, round by round, and reports datagrams a second and the ratio to the bare
+// relay of the same batching. The median of the rounds counts.
+func BenchmarkRelay(b *testing.B) {
+	relays := []relay{
+		{"bare", startBare}, {"bare-with-rings", startBareWithRings},
+		{"balancer", startBalancer}, {"run-to-completion", startRunToCompletion},
+	}
+	for b.Loop() {
+		rates := make([][]relayRate, len(relays))
+		for range relayRounds {
+			for i, r := range relays {
+				rates[i] = append(rates[i], measureRelay(b, r))
+			}
+		}
+		bare := median(rates[0]).received
+		for i, r := range relays {
+			m := median(rates[i])
+			b.ReportMetric(m.received, r.name+"-datagrams/s")
+			b.ReportMetric(m.sent/m.received, r.name+"-offered/carried")
+			b.ReportMetric(m.received/bare, r.name+"-ratio")
+		}
+		b.ReportMetric(relayTargetRatio, "bound-ratio")
+	}
+}
+
+// relayRate is what was sent to a relay and what reached the sink, in datagrams a second.
+type relayRate struct{ sent, received float64 }
+
+func median(rates []relayRate) relayRate {
+	slices.SortFunc(rates, func(a, b relayRate) int { return cmp.Compare(a.received, b.received) })
+	return rates[len(rates)/2]
+}
+
+// measureRelay returns the datagrams a second that reach the sink while senders saturate the relay.
+func measureRelay(b *testing.B, r relay) relayRate {
+	sink, err := openListener(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	front, stop := r.start(b, sink.localAddress())
+	var received atomic.Int64
+	go func() {
+		in := newBatch()
+		for sink.read(in) == nil {
+			received.Add(int64(in.count))
+		}
+	}()
+	var sent atomic.Int64
+	var senders sync.WaitGroup
+	begin := time.Now()
+	for range relaySenders {
+		senders.Go(func() { saturate(b, front, sink.localAddress(), &sent) })
+	}
+	senders.Wait()
+	elapsed := time.Since(begin).Seconds()
+	rate := relayRate{received: float64(received.Load()) / elapsed, sent: float64(sent.Load()) / elapsed}
+	stop()
+	sink.close()
+	return rate
+}
+
+// saturate sends datagrams of an open flow for the length of a round.
+func saturate(b *testing.B, front, agent netip.AddrPort, sent *atomic.Int64) {
+	sender, err := openListener(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer sender.close()
+	codec, err := connid.NewCodec(relayKeys(b))
+	if err != nil {
+		b.Fatal(err)
+	}
+	id := codec.Encode(connid.ID{Agent: agent, Service: 1, Class: class.Feed})
+	out := newBatch()
+	for !out.isFull() {
+		datagram := append(append(out.next(), 0x40), id[:]...)
+		out.add(datagram[:relayPayload], front)
+	}
+	for end := time.Now().Add(relayRound); time.Now().Before(end); {
+		sent.Add(int64(out.count - sender.write(out)))
+	}
+}
+
+func relayKeys(b *testing.B) *keys.Set {
+	set, err := keys.NewSet([]keys.Key{{ID: 1}}, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return set
+}
+
+func (l *listener) localAddress() netip.AddrPort {
+	return addressOf(l.socket)
+}
+
+// startBare relays with one goroutine that reads and writes batches and looks at nothing.
+func startBare(b *testing.B, sink netip.AddrPort) (netip.AddrPort, func()) {
+	front, back := openPair(b)
+	go func() {
+		in, out := newBatch(), newBatch()
+		for front.read(in) == nil {
+			out.reset()
+			for i := range in.count {
+				out.add(append(out.next(), in.datagram(i)...), sink)
+			}
+			back.write(out)
+		}
+	}()
+	return front.localAddress(), func() { front.close(); back.close() }
+}
+
+// startBareWithRings relays with the duties and rings of a balancer, and looks at nothing.
+func startBareWithRings(b *testing.B, sink netip.AddrPort) (netip.AddrPort, func()) {
+	made, front := newRelayBalancer(b)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = made.receive(ctx, front, made.inbound) }()
+	go func() { _ = made.sendAll(ctx, made.toAgents) }()
+	go func() {
+		for {
+			received, ok := made.inbound.Get(ctx)
+			if !ok {
+				return
+			}
+			out := made.takeBatch()
+			out.source = made.fabric
+			for i := range received.count {
+				out.add(append(out.next(), received.datagram(i)...), sink)
+			}
+			made.giveBack(received)
+			made.put(made.toAgents, out)
+		}
+	}()
+	return front.localAddress(), func() { cancel(); front.close(); made.fabric.close() }
+}
+
+func openPair(b *testing.B) (front, back *listener) {
+	front, err := openListener(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	back, err = openListener(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return front, back
+}
+
+func newRelayBalancer(b *testing.B) (*Balancer, *listener) {
+	front, back := openPair(b)
+	made, err := New(Settings{Data: back.localAddress()}, relayKeys(b), nil, store.NewHTTP("127.0.0.1:1"),
+		events.NewDiscardLogger(), tally.NewTestScope("", nil))
+	if err != nil {
+		b.Fatal(err)
+	}
+	made.fabric = back
+	made.listeners.add(front.localAddress(), front)
+	return made, front
+}
+
+// startBalancer runs the duties of the data path, joined by rings.
+func startBalancer(b *testing.B, _ netip.AddrPort) (netip.AddrPort, func()) {
+	made, front := newRelayBalancer(b)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = made.receive(ctx, front, made.inbound) }()
+	go func() { _ = made.forwardAll(ctx) }()
+	go func() { _ = made.sendAll(ctx, made.toAgents) }()
+	return front.localAddress(), func() { cancel(); front.close(); made.fabric.close() }
+}
+
+// startRunToCompletion carries each batch through all duties in one goroutine.
+func startRunToCompletion(b *testing.B, _ netip.AddrPort) (netip.AddrPort, func()) {
+	made, front := newRelayBalancer(b)
+	go func() {
+		for {
+			received := made.takeBatch()
+			if front.read(received) != nil {
+				return
+			}
+			made.forwardBatch(received)
+			drain(made.toAgents, made.send)
+		}
+	}()
+	return front.localAddress(), func() { front.close(); made.fabric.close() }
+}
+
+// BenchmarkForwardBatch reports the cost of the forward duty for each datagram of an open flow, without sockets.
+func BenchmarkForwardBatch(b *testing.B) {
+	made, front := newRelayBalancer(b)
+	defer front.close()
+	defer made.fabric.close()
+	codec, err := connid.NewCodec(relayKeys(b))
+	if err != nil {
+		b.Fatal(err)
+	}
+	id := codec.Encode(connid.ID{Agent: front.localAddress(), Service: 1, Class: class.Feed})
+	received, out := newBatch(), newBatch()
+	for !received.isFull() {
+		received.add(append(append(received.next(), 0x40), id[:]...)[:relayPayload], front.localAddress())
+		received.messages[received.count-1].N = relayPayload
+	}
+	received.source = front
+	b.ReportAllocs()
+	for b.Loop() {
+		out.reset()
+		made.forwardInto(received, out)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*batchDatagrams), "ns/datagram")
+}
