--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -13,6 +13,7 @@
 	"gentianswitch/internal/member"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
+	"gentianswitch/internal/route"
 	"gentianswitch/internal/settings"
 	"gentianswitch/internal/store"
 )
@@ -26,7 +27,7 @@
 func run(args []string) int {
 	var common settings.Common
 	var own balancer.Settings
-	var bindIP, detection string
+	var bindIP, detection, placement string
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	common.Define(fs)
 	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
@@ -34,6 +35,7 @@
 	settings.AddrPortsVar(fs, &own.Peers, "peers", "control addresses of balancers from which this one learns the others")
 	fs.StringVar(&detection, "detection", member.Conservative.String(),
 		"when a target or a balancer has failed: conservative (none of its observers hears it) or aggressive (one does not)")
+	fs.StringVar(&placement, "placement", route.Slots{}.Name(), "how a target is chosen for a new flow: slots or rendezvous")
 	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
 	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer-quito.yaml", os.Stderr)
 	if err != nil {
@@ -57,6 +59,9 @@
 			return program.ReportUsage(name, err)
 		}
 	}
+	if own.Placement, err = route.StrategyByName(placement); err != nil {
+		return program.ReportUsage(name, err)
+	}
 	return start(&common, own)
 }
 
--- a/internal/agent/returns.go
+++ b/internal/agent/returns.go
@@ -76,10 +76,8 @@
 func (r *returns) left(balancer netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i := range r.balancers {
-		if r.balancers[i].balancer == balancer {
-			r.balancers[i].at = time.Time{}
-		}
+	if place, isKnown := r.places[balancer]; isKnown {
+		r.paths[place].at = time.Time{}
 	}
 }
 
--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -86,12 +86,16 @@
 
 func (b *Balancer) forwardBatch(received *batch) {
 	out := b.takeBatch()
+	b.forwardInto(received, out)
+	b.giveBack(received)
+	b.put(b.toAgents, out)
+}
+
+func (b *Balancer) forwardInto(received, out *batch) {
 	out.source = b.fabric
 	for i := range received.count {
 		b.forward(received.source, received.datagram(i), received.sender(i), out)
 	}
-	b.giveBack(received)
-	b.put(b.toAgents, out)
 }
 
 // put passes a batch on, or drops and counts it when the ring is full.
@@ -139,7 +143,7 @@
 		}
 		b.log.Emit(events.FlowPlaced, events.F("route", d.Route.Name), events.F("pool", d.Route.Pool),
 			events.F("caller", caller.String()), events.F("candidates", candidates),
-			events.F("choice", d.Agent.String()), events.F("reason", "highest rendezvous score"))
+			events.F("choice", d.Agent.String()), events.F("reason", b.table.Load().Strategy().Name()))
 	case d.Verdict == route.DropNoTarget:
 		b.log.Emit(events.FlowRefused, events.F("route", d.Route.Name), events.F("pool", d.Route.Pool),
 			events.F("caller", caller.String()), events.F("reason", "no ready target"))
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -6,7 +6,6 @@
 
 	"gentianswitch/internal/member"
 	"gentianswitch/internal/revision"
-	"gentianswitch/internal/tables"
 )
 
 // state is the run-time state that several duties read: the tables in force and the members.
@@ -22,27 +21,33 @@
 	return &state{configuration: revision.NewState(), targets: make(map[netip.AddrPort]member.Target)}
 }
 
-// view returns the tables in force and the known targets.
-func (s *state) view() (*tables.Tables, []member.Target) {
+// view returns the known targets.
+func (s *state) view() []member.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := make([]member.Target, 0, len(s.targets))
 	for _, t := range s.targets {
 		targets = append(targets, t)
 	}
-	return s.configuration.Tables(), targets
+	return targets
 }
 
-// setTargets takes the changed targets of the membership.
-func (s *state) setTargets(changed []member.Target) {
+// setTargets takes the changed targets of the membership. It returns the records that they replace.
+func (s *state) setTargets(changed []member.Target) (before []member.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, t := range changed {
+		if known, ok := s.targets[t.Agent]; ok {
+			before = append(before, known)
+		}
+	}
 	for _, t := range changed {
 		s.targets[t.Agent] = t
 		if t.State == member.Gone {
 			delete(s.targets, t.Agent)
 		}
 	}
+	return before
 }
 
 // setMembers takes the live balancers and the agents to which this balancer sends heartbeats.
