--- /dev/null
+++ b/integration/operator_test.go
@@ -0,0 +1,65 @@
+package integration
+
+import (
+	"encoding/json"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/operator"
+)
+
+// operate runs gentianctl with JSON output, decodes its report and returns the exit code.
+func operate(e *emulator.Emulator, report any, args ...string) operator.ExitCode {
+	GinkgoHelper()
+	answer, err := e.Operate(append([]string{args[0], "-o", "json"}, args[1:]...)...)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(json.Unmarshal([]byte(answer.Output), report)).To(Succeed(), answer.Output)
+	return operator.ExitCode(answer.Code)
+}
+
+// targetState returns the state of a target and the work left, as gentianctl status shows it.
+func targetState(e *emulator.Emulator, ip string) (string, *operator.ProgressReport) {
+	GinkgoHelper()
+	var status operator.StatusReport
+	Expect(operate(e, &status, "status")).To(Equal(operator.ExitDone))
+	for _, t := range status.Targets {
+		if t.Agent.Addr().String() == ip {
+			return t.State, t.Progress
+		}
+	}
+	return "", nil
+}
+
+var _ = Describe("The operator", func() {
+	It("sees every balancer and target, drains a target, takes that back, and forces the end", func() {
+		e := startSmall()
+		agent := e.Agents[0]
+		address := agent.IP + ":4400"
+		var status operator.StatusReport
+		Expect(operate(e, &status, "status")).To(Equal(operator.ExitDone))
+		Expect(status.Revision).To(BeEquivalentTo(1))
+		Expect(status.Balancers).To(HaveLen(3))
+		Expect(status.Targets).To(HaveLen(1))
+		openFeeds(e, 1, 600)
+
+		var drain operator.DrainReport
+		Expect(operate(e, &drain, "drain", "--wait", "--timeout", "1s", address)).To(Equal(operator.ExitPending))
+		Expect(drain.Progress.Flows).To(Equal(1))
+		state, progress := targetState(e, agent.IP)
+		Expect(state).To(Equal("draining"))
+		Expect(progress.Flows).To(Equal(1))
+
+		Expect(operate(e, &drain, "undrain", address)).To(Equal(operator.ExitDone))
+		Eventually(func() string {
+			state, _ := targetState(e, agent.IP)
+			return state
+		}, inForceLimit).Should(Equal("ready"))
+
+		Expect(operate(e, &drain, "drain", "--force", "--wait", address)).To(Equal(operator.ExitDone))
+		Expect(drain.IsEnded).To(BeTrue())
+		Expect(agent.Wait(stopLimit)).To(Succeed())
+		Expect(agent.ExitCode()).To(Equal(0))
+	})
+})
--- a/internal/balancer/configuration_policy.go
+++ b/internal/balancer/configuration_policy.go
@@ -25,3 +25,13 @@
 	}
 	return nil
 }
+
+// newPolicy returns the policy for an agent when it is of another revision than the one last told on the connection.
+func (m *membership) newPolicy(agent netip.AddrPort, s *session) *control.PoolPolicy {
+	policy := m.balancer.policyFor(agent)
+	if policy == nil || policy.Revision == m.policyTold[s] {
+		return nil
+	}
+	m.policyTold[s] = policy.Revision
+	return policy
+}
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -42,6 +42,8 @@
 	agents   map[netip.AddrPort]*session
 	agentOf  map[*session]netip.AddrPort
 	peers    *peers
+	// policyTold is the revision of the policy that each agent was told last.
+	policyTold map[*session]uint64
 	// repliedAt is when the agents were last told that this balancer lives.
 	repliedAt time.Time
 	isChanged bool
@@ -53,12 +55,13 @@
 		Incarnation: uint64(now.UnixMicro()), State: member.Ready,
 	}
 	return &membership{
-		balancer: b,
-		machine:  member.New(member.Settings{Self: self, Detection: b.settings.Detection, Seed: self.Incarnation}),
-		arrivals: ring.New[arrival](arrivalCapacity),
-		agents:   make(map[netip.AddrPort]*session),
-		agentOf:  make(map[*session]netip.AddrPort),
-		peers:    newPeers(b, self),
+		balancer:   b,
+		machine:    member.New(member.Settings{Self: self, Detection: b.settings.Detection, Seed: self.Incarnation}),
+		arrivals:   ring.New[arrival](arrivalCapacity),
+		agents:     make(map[netip.AddrPort]*session),
+		agentOf:    make(map[*session]netip.AddrPort),
+		policyTold: make(map[*session]uint64),
+		peers:      newPeers(b, self),
 	}
 }
 
@@ -107,6 +110,7 @@
 
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
+	delete(m.policyTold, s)
 	if agent, ok := m.agentOf[s]; ok {
 		delete(m.agentOf, s)
 		if m.agents[agent] == s {
@@ -129,7 +133,7 @@
 	if now.Sub(m.repliedAt) >= agentReplyInterval {
 		m.repliedAt = now
 		for agent, s := range m.agents {
-			s.send(control.Message{AnnounceReply: &control.AnnounceReply{Policy: m.balancer.policyFor(agent)}})
+			s.send(control.Message{AnnounceReply: &control.AnnounceReply{Policy: m.newPolicy(agent, s)}})
 		}
 	}
 }
@@ -186,7 +190,7 @@
 func (m *membership) reply(r member.Reply) {
 	if s := m.agents[r.Agent]; s != nil {
 		s.send(control.Message{AnnounceReply: &control.AnnounceReply{
-			Homes: r.Homes, Spares: r.Spares, Incarnation: r.Incarnation, Policy: m.balancer.policyFor(r.Agent),
+			Homes: r.Homes, Spares: r.Spares, Incarnation: r.Incarnation, Policy: m.newPolicy(r.Agent, s),
 		}})
 	}
 }
