--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,6 +108,7 @@
 	budget               *retry.Budget
 	health               *healthMonitor
 	peers                *relayPool
+	known                knownPeers
 	progress             *progress
 	placements           *placements
 	slowStart            slowStart
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -112,6 +112,9 @@
 			stop(err)
 			return
 		}
+		if m.AnnounceReply != nil && m.AnnounceReply.Peers != nil {
+			h.agent.takePeers(m.AnnounceReply.Peers.Controls)
+		}
 		if m.AnnounceReply != nil && len(m.AnnounceReply.Homes) > 0 {
 			h.take(*m.AnnounceReply)
 		}
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -42,6 +42,8 @@
 	agents   map[netip.AddrPort]*session
 	agentOf  map[*session]netip.AddrPort
 	peers    *peers
+	// colleagues tells agents of others of the same service.
+	colleagues *colleagues
 	// repliedAt is when the agents were last told that this balancer lives.
 	repliedAt time.Time
 	isChanged bool
@@ -53,12 +55,13 @@
 		Incarnation: uint64(now.UnixMicro()), State: member.Ready,
 	}
 	return &membership{
-		balancer: b,
-		machine:  member.New(member.Settings{Self: self, Detection: b.settings.Detection, Seed: self.Incarnation}),
-		arrivals: ring.New[arrival](arrivalCapacity),
-		agents:   make(map[netip.AddrPort]*session),
-		agentOf:  make(map[*session]netip.AddrPort),
-		peers:    newPeers(b, self),
+		balancer:   b,
+		machine:    member.New(member.Settings{Self: self, Detection: b.settings.Detection, Seed: self.Incarnation}),
+		arrivals:   ring.New[arrival](arrivalCapacity),
+		agents:     make(map[netip.AddrPort]*session),
+		agentOf:    make(map[*session]netip.AddrPort),
+		peers:      newPeers(b, self),
+		colleagues: newColleagues(),
 	}
 }
 
@@ -107,6 +110,7 @@
 
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
+	m.colleagues.forget(s)
 	if agent, ok := m.agentOf[s]; ok {
 		delete(m.agentOf, s)
 		if m.agents[agent] == s {
@@ -128,8 +132,8 @@
 	}
 	if now.Sub(m.repliedAt) >= agentReplyInterval {
 		m.repliedAt = now
-		for _, s := range m.agents {
-			s.send(control.Message{AnnounceReply: &control.AnnounceReply{}})
+		for agent, s := range m.agents {
+			s.send(control.Message{AnnounceReply: &control.AnnounceReply{Peers: m.colleagues.news(agent, s)}})
 		}
 	}
 }
@@ -156,6 +160,7 @@
 	}
 	if len(changed) > 0 {
 		changed = latestOf(changed)
+		m.colleagues.update(changed)
 		before := m.balancer.state.setTargets(changed)
 		m.balancer.updateTargets(before, changed)
 	}
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"net/netip"
+
 	"gentianswitch/internal/member"
 	"gentianswitch/internal/revision"
 )
@@ -26,4 +28,11 @@
 	// Incarnation is the newest incarnation known for the agent's address. An agent whose own is lower announces a
 	// higher one, since its clock lags behind that of the VM's former agent.
 	Incarnation uint64 `msgpack:"incarnation"`
+	// Peers are agents of the same service, or nil when they are those told last.
+	Peers *PeerList `msgpack:"peers,omitempty"`
+}
+
+// PeerList holds the control addresses of agents whose targets are ready.
+type PeerList struct {
+	Controls []netip.AddrPort `msgpack:"controls"`
 }
