--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -155,8 +155,9 @@
 		}
 	}
 	if len(changed) > 0 {
-		m.balancer.state.setTargets(changed)
-		m.balancer.rebuild()
+		changed = latestOf(changed)
+		before := m.balancer.state.setTargets(changed)
+		m.balancer.updateTargets(before, changed)
 	}
 	if len(changed) > 0 || m.isChanged {
 		m.isChanged = false
@@ -164,6 +165,24 @@
 	}
 }
 
+// latestOf keeps the last record of each agent.
+func latestOf(changed []member.Target) []member.Target {
+	if len(changed) == 1 {
+		return changed
+	}
+	last := make(map[netip.AddrPort]int, len(changed))
+	for i, t := range changed {
+		last[t.Agent] = i
+	}
+	latest := make([]member.Target, 0, len(last))
+	for i, t := range changed {
+		if last[t.Agent] == i {
+			latest = append(latest, t)
+		}
+	}
+	return latest
+}
+
 func (m *membership) reply(r member.Reply) {
 	if s := m.agents[r.Agent]; s != nil {
 		s.send(control.Message{AnnounceReply: &control.AnnounceReply{
