--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -109,6 +109,7 @@
 	budget               *retry.Budget
 	health               *healthMonitor
 	peers                *relayPool
+	known                knownPeers
 	progress             *progress
 	placements           *placements
 	slowStart            slowStart
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -115,6 +115,9 @@
 		if m.AnnounceReply != nil && m.AnnounceReply.Policy != nil {
 			h.agent.takePolicy(*m.AnnounceReply.Policy)
 		}
+		if m.AnnounceReply != nil && m.AnnounceReply.Peers != nil {
+			h.agent.takePeers(m.AnnounceReply.Peers.Controls)
+		}
 		if m.AnnounceReply != nil && len(m.AnnounceReply.Homes) > 0 {
 			h.take(*m.AnnounceReply)
 		}
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -44,6 +44,8 @@
 	peers    *peers
 	// policyTold is the revision of the policy that each agent was told last.
 	policyTold map[*session]uint64
+	// colleagues tells agents of others of the same service.
+	colleagues *colleagues
 	// repliedAt is when the agents were last told that this balancer lives.
 	repliedAt time.Time
 	isChanged bool
@@ -60,8 +62,9 @@
 		arrivals:   ring.New[arrival](arrivalCapacity),
 		agents:     make(map[netip.AddrPort]*session),
 		agentOf:    make(map[*session]netip.AddrPort),
-		policyTold: make(map[*session]uint64),
 		peers:      newPeers(b, self),
+		policyTold: make(map[*session]uint64),
+		colleagues: newColleagues(),
 	}
 }
 
@@ -111,6 +114,7 @@
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
 	delete(m.policyTold, s)
+	m.colleagues.forget(s)
 	if agent, ok := m.agentOf[s]; ok {
 		delete(m.agentOf, s)
 		if m.agents[agent] == s {
@@ -133,7 +137,9 @@
 	if now.Sub(m.repliedAt) >= agentReplyInterval {
 		m.repliedAt = now
 		for agent, s := range m.agents {
-			s.send(control.Message{AnnounceReply: &control.AnnounceReply{Policy: m.newPolicy(agent, s)}})
+			s.send(control.Message{AnnounceReply: &control.AnnounceReply{
+				Policy: m.newPolicy(agent, s), Peers: m.colleagues.news(agent, s),
+			}})
 		}
 	}
 }
@@ -160,6 +166,7 @@
 	}
 	if len(changed) > 0 {
 		changed = latestOf(changed)
+		m.colleagues.update(changed)
 		before := m.balancer.state.setTargets(changed)
 		m.balancer.updateTargets(before, changed)
 	}
