--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +22,20 @@
 // inForceLimit is the stated bound from the acceptance of a change until it is in force on every balancer.
 const inForceLimit = 4 * time.Second
 
+// readersLimit is longer than one watch of the store, after which a balancer decides anew whether it reads.
+const readersLimit = 20 * time.Second
+
+// storeReaders returns the balancers that read the store.
+func storeReaders(e *emulator.Emulator) []*emulator.Process {
+	var list []*emulator.Process
+	for _, b := range e.Balancers {
+		if value, err := e.Metric(b, "gentian_balancer_store_reader"); err == nil && value == 1 {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
 // startSmall runs a deployment with three balancers in three availability zones and one target.
 func startSmall() *emulator.Emulator {
 	GinkgoHelper()
@@ -106,6 +121,32 @@
 		expectInForce(e, report.Revision)
 	})
 
+	It("says not accepted when the store answers too late, and changes nothing", func() {
+		e := startSmall()
+		setStoreFaults(e, kv.Faults{DelayMS: 2500})
+		report, code := apply(e, "--file", writeTables(e, 24), "--timeout", "3s")
+		Expect(code).To(Equal(operator.ExitFailed), "%+v", report)
+		setStoreFaults(e, kv.Faults{})
+		Consistently(inForce, 3*time.Second).WithArguments(e).Should(HaveEach(BeEquivalentTo(1)))
+	})
+
+	It("is read from the store by three balancers of a zone, and others follow when those die", func() {
+		crowd := emulator.Sierra()
+		crowd.Zones = []string{"quito"}
+		crowd.Balancers = 6
+		crowd.Pools = []emulator.Pool{{Name: "requests", Service: 1, Hosts: 1, Slots: 5}, {Name: "voice", Service: 2}}
+		e := start(crowd)
+		Eventually(storeReaders, readersLimit).WithArguments(e).Should(HaveLen(3))
+		for _, b := range storeReaders(e) {
+			Expect(b.Kill()).To(Succeed())
+			e.Balancers = slices.DeleteFunc(e.Balancers, func(other *emulator.Process) bool { return other == b })
+		}
+		Eventually(storeReaders, readersLimit).WithArguments(e).Should(HaveLen(3))
+		report, code := apply(e, "--file", writeTables(e, 25), "--store-only")
+		Expect(code).To(Equal(operator.ExitDone), "%+v", report)
+		expectInForce(e, report.Revision)
+	})
+
 	It("says not accepted when the store is down, and changes nothing", func() {
 		e := startSmall()
 		setStoreFaults(e, kv.Faults{Down: true})
--- a/internal/balancer/configuration_store.go
+++ b/internal/balancer/configuration_store.go
@@ -42,9 +42,11 @@
 	r := newReader(b)
 	for ctx.Err() == nil {
 		if !b.isStoreReader() {
+			b.counters.storeReader.Update(0)
 			pause(ctx, readerInterval)
 			continue
 		}
+		b.counters.storeReader.Update(1)
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
 			r.failed(err)
 			pause(ctx, r.retry.NextBackOff())
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -17,6 +17,8 @@
 	// storeFailed counts failed calls to the store, and revision is the number of the revision in force.
 	storeFailed tally.Counter
 	revision    tally.Gauge
+	// storeReader is 1 while this balancer reads the store, else 0.
+	storeReader tally.Gauge
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -28,6 +30,7 @@
 		noListener:  scope.Counter("dropped_no_listener"),
 		storeFailed: scope.Counter("store_calls_failed"),
 		revision:    scope.Gauge("revision"),
+		storeReader: scope.Gauge("store_reader"),
 	}
 	for v := route.Verdict(0); v <= route.DropNoTarget; v++ {
 		c.verdicts = append(c.verdicts, scope.Tagged(map[string]string{"verdict": v.String()}).Counter("datagrams"))
