Offer waiting requests to peers that have got room

Cause: a request whose first offer was refused waited behind long work at its host although other hosts had free slots. Ruled out: too few peers (every agent knew the 6 others). Change: up to 4 offers, 20 ms apart, also while it waits.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -86,7 +86,7 @@
 	Room int
 }
 
-// RelayRefused returns a request that a peer did not take. It is not relayed again.
+// RelayRefused returns a request that a peer did not take. It may be offered to another peer, maxOffers times in all.
 type RelayRefused struct {
 	ID   ID
 	Peer netip.AddrPort
@@ -155,6 +155,9 @@
 	request Request
 	class   class.Class
 	since   time.Time
+	// offers is the number of times that the request was offered to a peer, the last time at offeredAt.
+	offers    int
+	offeredAt time.Time
 }
 
 // running is a request that the target runs.
@@ -208,7 +211,8 @@
 		m.cancel(e.ID)
 		return m.dispatchWaiting(now)
 	case Tick:
-		return append(m.giveUp(now), m.dispatchWaiting(now)...)
+		actions := append(m.giveUp(now), m.dispatchWaiting(now)...)
+		return append(actions, m.offerWaiting(now)...)
 	case PeerRoom:
 		m.peers.set(now, e.Peer, e.Room)
 		return nil
@@ -248,8 +252,7 @@
 	case takeSlot:
 		return []Action{m.start(now, w, v.reason)}
 	case relayToPeer:
-		m.relayed[id] = w
-		return []Action{Relay{ID: id, Peer: v.peer, Reason: v.reason}}
+		return []Action{m.offer(now, w, v.peer, v.reason)}
 	case wait:
 		m.queue = append(m.queue, w)
 		return []Action{Queue{ID: id, Length: len(m.queue), Predicted: v.predicted}}
@@ -263,6 +266,31 @@
 	return Dispatch{ID: w.request.ID, Waited: now.Sub(w.since), Reason: reason}
 }
 
+// offer passes a request to a peer.
+func (m *Machine) offer(now time.Time, w waiting, peer netip.AddrPort, reason string) Action {
+	w.offers++
+	w.offeredAt = now
+	m.relayed[w.request.ID] = w
+	return Relay{ID: w.request.ID, Peer: peer, Reason: reason}
+}
+
+// offerWaiting offers waiting requests to peers that have got room since.
+func (m *Machine) offerWaiting(now time.Time) []Action {
+	var actions []Action
+	for i := 0; i < len(m.queue); {
+		if !m.strategy.usesClasses() || !m.queue[i].canOffer(now) {
+			i++
+			continue
+		}
+		peer, ok := m.peers.take(now)
+		if !ok {
+			return actions
+		}
+		actions = append(actions, m.offer(now, m.remove(i), peer, "a peer has got room"))
+	}
+	return actions
+}
+
 func (m *Machine) refuse(now time.Time, id ID, reason string) Action {
 	return Refuse{ID: id, RetryAfter: m.returns.next(now, m.backlog(now), m.spacing()), Reason: reason}
 }
@@ -303,7 +331,6 @@
 		return nil
 	}
 	delete(m.relayed, e.ID)
-	w.request.CanRelay = false
 	return m.place(now, w)
 }
 
@@ -317,8 +344,8 @@
 	next := m.dispatchWaiting(now)
 	if r.request.CanRelay && m.strategy.usesClasses() {
 		if peer, ok := m.peers.take(now); ok {
-			m.relayed[id] = waiting{request: r.request, class: r.class, since: r.started}
-			return append(next, Relay{ID: id, Peer: peer, Reason: "the target takes no connection"})
+			w := waiting{request: r.request, class: r.class, since: r.started}
+			return append(next, m.offer(now, w, peer, "the target takes no connection"))
 		}
 	}
 	return append(next, m.refuse(now, id, "the target takes no connection"))
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -151,6 +151,25 @@
 	}
 }
 
+func TestAWaitingRequestIsOfferedToAPeerThatGotRoom(t *testing.T) {
+	peer := netip.MustParseAddrPort("10.0.0.2:4401")
+	m := newMachine(t, Settings{Slots: 1, QueueLimit: 8})
+	m.Step(start, request(1, class.Short, time.Minute))
+	second := request(2, class.Short, time.Minute)
+	second.Request.CanRelay = true
+	if _, ok := m.Step(start, second)[0].(Queue); !ok {
+		t.Fatal("expected the request to wait while no peer is known")
+	}
+	m.Step(start, PeerRoom{Peer: peer, Room: 1})
+	actions := m.Step(start.Add(offerPause), Tick{})
+	if len(actions) != 1 {
+		t.Fatalf("expected one action, got %+v", actions)
+	}
+	if relay, ok := actions[0].(Relay); !ok || relay.ID != 2 {
+		t.Fatalf("expected the relay of request 2, got %+v", actions[0])
+	}
+}
+
 func TestARouteThatLiesAboutItsClassIsFound(t *testing.T) {
 	m := newMachine(t, Settings{Slots: 4, ShortReserve: 1, QueueLimit: 8})
 	run := func(id ID, route string, took time.Duration) []Action {
--- a/internal/admit/strategy.go
+++ b/internal/admit/strategy.go
@@ -105,7 +105,7 @@
 	if w.request.IsRelayed {
 		return verdict{kind: refuse, reason: reasonNoRoom}
 	}
-	if w.request.CanRelay && w.class == class.Short {
+	if w.canOffer(now) {
 		if peer, ok := m.peers.take(now); ok {
 			return verdict{kind: relayToPeer, peer: peer, reason: reasonPeerRoom}
 		}
@@ -164,6 +164,19 @@
 	return found
 }
 
+// Limits of the offers of one request to peers.
+const (
+	maxOffers = 4
+	// offerPause is the time between two offers of one request.
+	offerPause = 20 * time.Millisecond
+)
+
+// canOffer reports whether the request may be offered to a peer now.
+func (w *waiting) canOffer(now time.Time) bool {
+	isAllowed := w.request.CanRelay && w.class == class.Short && w.offers < maxOffers
+	return isAllowed && (w.offers == 0 || now.Sub(w.offeredAt) >= offerPause)
+}
+
 // isBefore orders requests of one class by deadline, then by arrival.
 func (w *waiting) isBefore(other *waiting) bool {
 	if !w.request.Deadline.Equal(other.request.Deadline) {
