Evaluate only the targets that a change can affect

Change: only targets that a changed balancer observes or a zone report speaks of are evaluated; the agents of a balancer are an arc of the ring, kept as a set; homes and spares come from one pass. The search of live balancers follows pointers.

--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -149,6 +149,8 @@
 		case member.BalancerChanged:
 			m.isChanged = true
 			m.balancer.logBalancer(x)
+		case member.ReturnsChanged:
+			m.balancer.state.setReturns(x.Agents)
 		case member.ZoneChanged:
 			m.balancer.log.Emit(events.ZoneChanged, events.F("zone", x.Zone), events.F("is_lost", x.IsLost),
 				events.F("subjects", x.Subjects))
@@ -158,9 +160,9 @@
 		m.balancer.state.setTargets(changed)
 		m.balancer.rebuild()
 	}
-	if len(changed) > 0 || m.isChanged {
+	if m.isChanged {
 		m.isChanged = false
-		m.balancer.state.setMembers(m.machine.Balancers(), m.machine.ReturnTargets())
+		m.balancer.state.setBalancers(m.machine.Balancers())
 	}
 }
 
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -45,12 +45,18 @@
 	}
 }
 
-// setMembers takes the live balancers and the agents to which this balancer sends heartbeats.
-func (s *state) setMembers(balancers []member.Balancer, returns []netip.AddrPort) {
+// setBalancers takes the live balancers.
+func (s *state) setBalancers(balancers []member.Balancer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancers = balancers
-	s.returns = returns
+}
+
+// setReturns takes the agents to which this balancer sends heartbeats.
+func (s *state) setReturns(agents []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.returns = agents
 }
 
 // liveBalancers returns the live balancers, this one included. The caller must not change the list.
--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -81,6 +81,10 @@
 	Subjects int
 }
 
+// ReturnsChanged tells which agents shall get heartbeats of this balancer over the data path.
+type ReturnsChanged struct{ Agents []netip.AddrPort }
+
+func (ReturnsChanged) isAction()  {}
 func (Send) isAction()            {}
 func (Reply) isAction()           {}
 func (TargetChanged) isAction()   {}
--- a/internal/member/liveness.go
+++ b/internal/member/liveness.go
@@ -17,54 +17,56 @@
 	}
 	m.isLivenessStale = false
 	m.purgeVoid()
-	live := m.reach()
-	changed := m.applyLiveness(live)
+	m.reach()
+	changed := m.applyLiveness()
 	for _, c := range changed {
 		m.act(c)
 	}
 	m.overlay.isStale = m.overlay.isStale || len(changed) > 0
-	for subject := range m.targets {
-		m.changed[subject] = struct{}{}
-	}
+	m.markAffected(changed)
 }
 
-// reach returns the balancers that can be reached over observations from this one.
-func (m *Machine) reach() map[id]bool {
-	hears := make(map[id][]id, len(m.balancers))
-	for subject, e := range m.balancers {
+// reach marks the balancers that can be reached over observations from this one.
+func (m *Machine) reach() {
+	for _, e := range m.balancers {
+		e.isReached = false
+		e.hears = e.hears[:0]
+	}
+	for _, e := range m.balancers {
 		if e.record.State != Ready {
 			continue
 		}
 		for _, o := range e.observers {
-			if o.incarnation == e.record.Incarnation && m.sightOf(o, e.record.Zone) == Seen {
-				hears[o.observer] = append(hears[o.observer], subject)
+			isSeen := o.incarnation == e.record.Incarnation && m.sightOf(o, e.record.Zone) == Seen
+			if observer := m.balancers[o.observer]; isSeen && observer != nil {
+				observer.hears = append(observer.hears, e)
 			}
 		}
 	}
-	live := map[id]bool{m.selfID: true}
-	for frontier := []id{m.selfID}; len(frontier) > 0; {
+	self := m.balancers[m.selfID]
+	self.isReached = true
+	for frontier := []*balancerEntry{self}; len(frontier) > 0; {
 		next := frontier[len(frontier)-1]
 		frontier = frontier[:len(frontier)-1]
-		for _, subject := range hears[next] {
-			if !live[subject] {
-				live[subject] = true
-				frontier = append(frontier, subject)
+		for _, e := range next.hears {
+			if !e.isReached {
+				e.isReached = true
+				frontier = append(frontier, e)
 			}
 		}
 	}
-	return live
 }
 
-func (m *Machine) applyLiveness(live map[id]bool) []BalancerChanged {
+func (m *Machine) applyLiveness() []BalancerChanged {
 	var changed []BalancerChanged
-	for subject, e := range m.balancers {
-		if e.isLive == live[subject] {
+	for _, e := range m.balancers {
+		if e.isLive == e.isReached {
 			if !e.isLive && e.endedAt.IsZero() {
 				e.endedAt = m.now
 			}
 			continue
 		}
-		e.isLive = live[subject]
+		e.isLive = e.isReached
 		e.endedAt = zeroTime
 		if !e.isLive {
 			e.endedAt = m.now
@@ -77,6 +79,38 @@
 	return changed
 }
 
+// markAffected asks for the view of the targets that a changed balancer observes or that a zone report speaks of.
+func (m *Machine) markAffected(changed []BalancerChanged) {
+	if len(changed) == 0 && len(m.staleZones) == 0 {
+		return
+	}
+	balancers := make(map[id]struct{}, len(changed))
+	for _, c := range changed {
+		balancers[idOf(c.Balancer.Data)] = struct{}{}
+	}
+	for subject, e := range m.targets {
+		if m.isAffected(e, balancers) {
+			m.changed[subject] = struct{}{}
+		}
+	}
+	clear(m.staleZones)
+}
+
+func (m *Machine) isAffected(e *targetEntry, balancers map[id]struct{}) bool {
+	if _, ok := m.staleZones[e.record.Zone]; ok {
+		return true
+	}
+	if len(balancers) == 0 {
+		return false
+	}
+	for _, o := range e.observers {
+		if _, ok := balancers[o.observer]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // purgeVoid removes what balancers have said that have since gone or restarted.
 func (m *Machine) purgeVoid() {
 	if !m.hasVoid {
@@ -87,17 +121,22 @@
 		m.purgeObservers(subject, &e.observers)
 	}
 	for subject, e := range m.targets {
-		m.purgeObservers(subject, &e.observers)
+		if m.purgeObservers(subject, &e.observers) {
+			m.changed[subject] = struct{}{}
+		}
 	}
 	for key, r := range m.zones {
 		if m.isVoid(key.observer, r.version) {
 			m.digest.toggle(key.observer, zoneHash(key, r))
 			delete(m.zones, key)
+			m.staleZones[key.zone] = struct{}{}
 		}
 	}
 }
 
-func (m *Machine) purgeObservers(subject id, observers *[]observation) {
+// purgeObservers removes the void observations of a subject and reports whether there were any.
+func (m *Machine) purgeObservers(subject id, observers *[]observation) bool {
+	before := len(*observers)
 	*observers = slices.DeleteFunc(*observers, func(o observation) bool {
 		isVoid := m.isVoid(o.observer, o.version)
 		if isVoid {
@@ -105,6 +144,7 @@
 		}
 		return isVoid
 	})
+	return len(*observers) < before
 }
 
 // sweep buries what has failed for long and forgets what has gone for long.
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -89,6 +89,9 @@
 	observers []observation
 	isLive    bool
 	endedAt   time.Time
+	// hears and isReached belong to the search of the live balancers.
+	hears     []*balancerEntry
+	isReached bool
 }
 
 // Machine is the membership as one balancer knows it. It is a pure state machine: it reads no clock and does no input or
@@ -106,8 +109,11 @@
 	outboxes  map[id]*outbox
 	digest    digest
 	overlay   overlay
-	// changed holds the targets whose view must be evaluated; isLivenessStale asks for all.
-	changed         map[id]struct{}
+	// changed holds the targets whose view must be evaluated, staleZones the zones of which a report has changed.
+	changed    map[id]struct{}
+	staleZones map[string]struct{}
+	returns    returnSet
+	// isLivenessStale asks for a search of the live balancers.
 	timed           map[id]struct{}
 	isLivenessStale bool
 	// hasVoid asks for the removal of what balancers have said that have since gone or restarted.
@@ -123,19 +129,21 @@
 // New returns a machine that knows only itself.
 func New(settings Settings) *Machine {
 	m := &Machine{
-		self:      settings.Self,
-		selfID:    idOf(settings.Self.Data),
-		detection: settings.Detection,
-		random:    rand.New(rand.NewPCG(settings.Seed, settings.Self.Incarnation)),
-		version:   settings.Self.Incarnation,
-		targets:   make(map[id]*targetEntry),
-		balancers: make(map[id]*balancerEntry),
-		zones:     make(map[zoneKey]zoneReport),
-		watches:   make(map[id]*watch),
-		outboxes:  make(map[id]*outbox),
-		changed:   make(map[id]struct{}),
-		timed:     make(map[id]struct{}),
-		names:     make(map[string]string),
+		self:       settings.Self,
+		selfID:     idOf(settings.Self.Data),
+		detection:  settings.Detection,
+		random:     rand.New(rand.NewPCG(settings.Seed, settings.Self.Incarnation)),
+		version:    settings.Self.Incarnation,
+		targets:    make(map[id]*targetEntry),
+		balancers:  make(map[id]*balancerEntry),
+		zones:      make(map[zoneKey]zoneReport),
+		watches:    make(map[id]*watch),
+		outboxes:   make(map[id]*outbox),
+		changed:    make(map[id]struct{}),
+		staleZones: make(map[string]struct{}),
+		returns:    returnSet{agents: make(map[id]struct{})},
+		timed:      make(map[id]struct{}),
+		names:      make(map[string]string),
 	}
 	m.mergeBalancer(m.self, 0)
 	m.balancers[m.selfID].isLive = true
@@ -175,6 +183,7 @@
 	m.observeSilence(now)
 	m.expireTimers()
 	m.evaluate(now)
+	m.refreshReturns()
 	if now.Sub(m.lastDigest) >= digestInterval {
 		m.sendDigest(now)
 	}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -247,6 +247,7 @@
 		m.digest.toggle(key.observer, zoneHash(key, known))
 	}
 	m.zones[key] = zoneReport{z.Sight, z.Version}
+	m.staleZones[key.zone] = struct{}{}
 	m.digest.toggle(key.observer, zoneHash(key, m.zones[key]))
 	m.isLivenessStale = true
 	m.spread(record, from)
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -52,27 +52,33 @@
 	m.overlay.ring = ring
 }
 
+// scored is a balancer and its rendezvous score for a subject.
+type scored struct {
+	place ringPlace
+	score uint64
+}
+
+func compareScores(a, b scored) int {
+	return cmp.Compare(b.score, a.score)
+}
+
+// insertScored adds s to a list that is sorted by falling score and keeps the first n.
+func insertScored(list []scored, s scored, n int) []scored {
+	if len(list) >= n && s.score <= list[n-1].score {
+		return list
+	}
+	at, _ := slices.BinarySearchFunc(list, s, compareScores)
+	list = slices.Insert(list, at, s)
+	return list[:min(len(list), n)]
+}
+
 // rank returns the live balancers that pass a filter, the highest rendezvous score for the subject first, at most n.
 func (m *Machine) rank(subject id, n int, isAllowed func(ringPlace) bool) []ringPlace {
-	type scored struct {
-		place ringPlace
-		score uint64
-	}
 	var best []scored
-	if n <= 0 {
-		return nil
-	}
 	for _, p := range m.overlay.ring {
-		if !isAllowed(p) {
-			continue
-		}
-		s := scored{p, hash(uint64(subject), uint64(p.id))}
-		if len(best) == n && s.score <= best[n-1].score {
-			continue
+		if isAllowed(p) {
+			best = insertScored(best, scored{p, hash(uint64(subject), uint64(p.id))}, n)
 		}
-		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-		best = slices.Insert(best, at, s)
-		best = best[:min(len(best), n)]
 	}
 	places := make([]ringPlace, len(best))
 	for i, b := range best {
@@ -85,25 +91,47 @@
 // best of the rest, and the balancers to turn to next.
 func (m *Machine) homes(agent id, zone string) (homes, spares []Balancer) {
 	m.refreshRing()
-	taken := make(map[id]bool)
-	zones := make(map[string]bool)
-	take := func(places []ringPlace) {
-		for _, p := range places {
-			taken[p.id], zones[p.zone] = true, true
-			homes = append(homes, m.balancers[p.id].record)
+	best, byZone := m.rankAll(agent)
+	chosen := make([]ringPlace, 0, homeCount)
+	if own, ok := byZone[zone]; ok {
+		chosen = append(chosen, own.place)
+	}
+	remote := make([]scored, 0, len(byZone))
+	for name, s := range byZone {
+		if name != zone {
+			remote = append(remote, s)
 		}
 	}
-	take(m.rank(agent, 1, func(p ringPlace) bool { return p.zone == zone }))
-	for range homeCount {
-		take(m.rank(agent, 1, func(p ringPlace) bool { return !zones[p.zone] && len(homes) < homeCount }))
+	slices.SortFunc(remote, compareScores)
+	for _, s := range slices.Concat(remote, best) {
+		if len(chosen) < homeCount && !slices.Contains(chosen, s.place) {
+			chosen = append(chosen, s.place)
+		}
+	}
+	for _, s := range best {
+		if len(spares) < spareCount && !slices.Contains(chosen, s.place) {
+			spares = append(spares, m.balancers[s.place.id].record)
+		}
 	}
-	take(m.rank(agent, homeCount-len(homes), func(p ringPlace) bool { return !taken[p.id] }))
-	for _, p := range m.rank(agent, spareCount, func(p ringPlace) bool { return !taken[p.id] }) {
-		spares = append(spares, m.balancers[p.id].record)
+	for _, p := range chosen {
+		homes = append(homes, m.balancers[p.id].record)
 	}
 	return homes, spares
 }
 
+// rankAll returns the live balancers with the highest rendezvous scores for the subject, and the best of each zone.
+func (m *Machine) rankAll(subject id) (best []scored, byZone map[string]scored) {
+	byZone = make(map[string]scored)
+	for _, p := range m.overlay.ring {
+		s := scored{p, hash(uint64(subject), uint64(p.id))}
+		best = insertScored(best, s, homeCount+spareCount)
+		if s.score > byZone[p.zone].score {
+			byZone[p.zone] = s
+		}
+	}
+	return best, byZone
+}
+
 // reply answers an agent when it has just connected or when its homes have changed.
 func (m *Machine) reply(t Target, isForced bool) {
 	subject := idOf(t.Agent)
@@ -198,30 +226,6 @@
 	return list
 }
 
-// ReturnTargets returns the agents to which this balancer sends heartbeats over the data path: those for which it is
-// one of the next balancers on the hash ring. At a small size they are all agents.
-func (m *Machine) ReturnTargets() []netip.AddrPort {
-	m.refreshRing()
-	ring := m.overlay.ring
-	var agents []netip.AddrPort
-	for subject, e := range m.targets {
-		if e.view != 0 && e.view != Gone && isAmongSuccessors(ring, hash(uint64(subject)), m.selfID) {
-			agents = append(agents, subject.address())
-		}
-	}
-	return agents
-}
-
-func isAmongSuccessors(ring []ringPlace, h uint64, self id) bool {
-	at, _ := slices.BinarySearchFunc(ring, h, func(p ringPlace, h uint64) int { return cmp.Compare(p.hash, h) })
-	for i := range min(returnSample, len(ring)) {
-		if ring[(at+i)%len(ring)].id == self {
-			return true
-		}
-	}
-	return false
-}
-
 // peerJoined starts to hear and to inform a connected balancer.
 func (m *Machine) peerJoined(now time.Time, b Balancer) {
 	peer := idOf(b.Data)
--- a/internal/member/slopes_test.go
+++ b/internal/member/slopes_test.go
@@ -90,10 +90,10 @@
 func slopeMachine(targets, balancers int) *Machine {
 	m := New(Settings{Self: slopeBalancer(0)})
 	m.merge(slopeBalancers(balancers), 0)
+	m.merge(slopeTargets(0, targets, balancers), 0)
 	for n := range slopePeers {
 		m.peerJoined(epoch, slopeBalancer(1+n))
 	}
-	m.merge(slopeTargets(0, targets, balancers), 0)
 	m.Handle(epoch, Tick{})
 	return m
 }
@@ -210,8 +210,11 @@
 			m := slopeMachine(size, balancers)
 			m.settleOutboxes()
 			b.ResetTimer()
-			for range b.N {
-				m.isLivenessStale = true
+			for i := range b.N {
+				m.mergeObservation(Observation{
+					Observer: slopeBalancer(99).Data, Subject: slopeBalancer(98).Data, Incarnation: 1,
+					Sight: []Sight{Lost, Seen}[i%2], Version: uint64(3 + i),
+				}, 0)
 				m.Handle(epoch, Tick{})
 			}
 		})
@@ -361,8 +364,10 @@
 			m := slopeMachine(size, balancers)
 			b.ResetTimer()
 			for range b.N {
-				b.ReportMetric(float64(len(m.ReturnTargets())), "agents")
+				m.returns.generation = 0
+				m.refreshReturns()
 			}
+			b.ReportMetric(float64(len(m.returns.agents)), "agents")
 		})
 	}
 }
--- a/internal/member/verdict.go
+++ b/internal/member/verdict.go
@@ -52,6 +52,7 @@
 	for subject := range m.changed {
 		if e := m.targets[subject]; e != nil {
 			m.evaluateTarget(now, subject, e)
+			m.noteReturn(subject, e)
 		}
 	}
 	clear(m.changed)
