--- a/internal/member/liveness.go
+++ b/internal/member/liveness.go
@@ -159,13 +159,13 @@
 }
 
 func (m *Machine) sweepTarget(now time.Time, subject id, e *targetEntry) {
-	if e.endedAt.IsZero() {
+	if e.endedAt == 0 {
 		if e.view == 0 {
-			e.endedAt = now
+			e.endedAt = instantOf(now)
 		}
 		return
 	}
-	if now.Sub(e.endedAt) < tombstoneLifetime {
+	if e.endedAt.elapsed(now) < tombstoneLifetime {
 		return
 	}
 	if e.record.State == Gone || e.record.State == 0 {
@@ -173,7 +173,7 @@
 		delete(m.targets, subject)
 		return
 	}
-	buried := e.record
+	buried := e.record.unpack(subject)
 	buried.State = Gone
 	buried.Sequence |= buriedBit
 	m.mergeTarget(buried, 0)
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -71,16 +71,16 @@
 // targetEntry is what is known of a target.
 type targetEntry struct {
 	// record has state 0 until the target's announcement arrives; only observations are known then.
-	record    Target
+	record    packedTarget
 	observers []observation
 	view      State
 	// shown is the incarnation in the view.
 	shown   uint64
 	damping *damping
 	// orphanedAt is when the last live home was lost, or zero.
-	orphanedAt time.Time
+	orphanedAt instant
 	// endedAt is when the view became gone or failed, or zero.
-	endedAt time.Time
+	endedAt instant
 }
 
 // balancerEntry is what is known of a balancer.
@@ -237,16 +237,16 @@
 // Targets returns the targets in the view, each with its state there.
 func (m *Machine) Targets() []Target {
 	list := make([]Target, 0, len(m.targets))
-	for _, e := range m.targets {
+	for subject, e := range m.targets {
 		if e.view != 0 {
-			list = append(list, e.inView())
+			list = append(list, e.inView(subject))
 		}
 	}
 	return list
 }
 
-func (e *targetEntry) inView() Target {
-	t := e.record
+func (e *targetEntry) inView(subject id) Target {
+	t := e.record.unpack(subject)
 	t.State = e.view
 	return t
 }
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -83,8 +83,8 @@
 		e = &targetEntry{}
 		m.targets[subject] = e
 	}
-	if isKnown && !t.IsNewerThan(e.record) {
-		m.acknowledge(recordID{kind: kindTarget, subject: subject}, from, e.record == t)
+	if isKnown && !e.record.isSupersededBy(t) {
+		m.acknowledge(recordID{kind: kindTarget, subject: subject}, from, e.record == pack(t))
 		return
 	}
 	t.Zone = m.name(t.Zone)
@@ -92,8 +92,8 @@
 		m.toggleTarget(subject, e.record)
 		m.noteRestart(e, t)
 	}
-	e.record = t
-	m.toggleTarget(subject, t)
+	e.record = pack(t)
+	m.toggleTarget(subject, e.record)
 	m.dropStale(subject, &e.observers, t.Incarnation, t.State == Gone)
 	m.changed[subject] = struct{}{}
 	m.spread(recordID{kind: kindTarget, subject: subject}, from)
@@ -140,9 +140,9 @@
 	return e
 }
 
-func (m *Machine) toggleTarget(subject id, t Target) {
+func (m *Machine) toggleTarget(subject id, t packedTarget) {
 	if t.State != Gone {
-		m.digest.toggle(subject, targetHash(t))
+		m.digest.toggle(subject, targetHash(subject, t))
 	}
 }
 
@@ -177,7 +177,7 @@
 	i := slices.IndexFunc(*observers, func(k observation) bool { return k.observer == added.observer })
 	switch {
 	case i < 0:
-		*observers = append(*observers, added)
+		*observers = appendObservation(*observers, added)
 	case (*observers)[i].version >= added.version:
 		m.acknowledge(record, from, (*observers)[i].version == added.version)
 		return
@@ -197,6 +197,16 @@
 	}
 }
 
+// appendObservation grows the list by no more than it needs, since there is one for each target.
+func appendObservation(observers []observation, added observation) []observation {
+	if len(observers) == cap(observers) {
+		grown := make([]observation, len(observers), max(homeCount, len(observers)+1))
+		copy(grown, observers)
+		observers = grown
+	}
+	return append(observers, added)
+}
+
 // observersOf returns the observations of a subject. A subject that is not known yet is taken for a target.
 func (m *Machine) observersOf(subject id) (observers *[]observation, isBalancer bool) {
 	if b := m.balancers[subject]; b != nil {
@@ -253,8 +263,8 @@
 	m.spread(record, from)
 }
 
-func targetHash(t Target) uint64 {
-	return hash(uint64(kindTarget), uint64(idOf(t.Agent)), t.Incarnation, t.Sequence)
+func targetHash(subject id, t packedTarget) uint64 {
+	return hash(uint64(kindTarget), uint64(subject), t.Incarnation, t.Sequence)
 }
 
 func balancerHash(b Balancer) uint64 {
--- a/internal/member/outbox.go
+++ b/internal/member/outbox.go
@@ -112,7 +112,7 @@
 	switch r.kind {
 	case kindTarget:
 		if e := m.targets[r.subject]; e != nil && e.record.State != 0 {
-			c.Targets = append(c.Targets, e.record)
+			c.Targets = append(c.Targets, e.record.unpack(r.subject))
 		}
 	case kindBalancer:
 		if e := m.balancers[r.subject]; e != nil {
--- a/internal/member/slopes_test.go
+++ b/internal/member/slopes_test.go
@@ -211,10 +211,12 @@
 			m.settleOutboxes()
 			b.ResetTimer()
 			for i := range b.N {
-				m.mergeObservation(Observation{
-					Observer: slopeBalancer(99).Data, Subject: slopeBalancer(98).Data, Incarnation: 1,
-					Sight: []Sight{Lost, Seen}[i%2], Version: uint64(3 + i),
-				}, 0)
+				for _, o := range m.balancers[idOf(slopeBalancer(98).Data)].observers {
+					m.mergeObservation(Observation{
+						Observer: o.observer.address(), Subject: slopeBalancer(98).Data, Incarnation: 1,
+						Sight: []Sight{Lost, Seen}[i%2], Version: uint64(3 + i),
+					}, 0)
+				}
 				m.Handle(epoch, Tick{})
 			}
 		})
--- a/internal/member/verdict.go
+++ b/internal/member/verdict.go
@@ -74,7 +74,7 @@
 	switch e.record.State {
 	case 0:
 	case Gone:
-		m.setView(now, e, Gone, ReasonAnnounced)
+		m.setView(now, subject, e, Gone, ReasonAnnounced)
 	default:
 		m.evaluateLive(now, subject, e)
 	}
@@ -83,13 +83,13 @@
 func (m *Machine) evaluateLive(now time.Time, subject id, e *targetEntry) {
 	found := m.judge(e)
 	if found != orphaned {
-		e.orphanedAt = zeroTime
+		e.orphanedAt = 0
 	}
 	switch found {
 	case reachable:
 		m.showReachable(now, subject, e)
 	case unreachable:
-		m.setView(now, e, Failed, ReasonLost)
+		m.setView(now, subject, e, Failed, ReasonLost)
 	case orphaned:
 		m.showOrphaned(now, subject, e)
 	}
@@ -100,11 +100,11 @@
 	if e.view == 0 || e.view == Failed || e.view == Gone {
 		return
 	}
-	if e.orphanedAt.IsZero() {
-		e.orphanedAt = now
+	if e.orphanedAt == 0 {
+		e.orphanedAt = instantOf(now)
 	}
-	if now.Sub(e.orphanedAt) >= orphanTimeout {
-		m.setView(now, e, Failed, ReasonOrphaned)
+	if e.orphanedAt.elapsed(now) >= orphanTimeout {
+		m.setView(now, subject, e, Failed, ReasonOrphaned)
 		return
 	}
 	m.showReachable(now, subject, e)
@@ -117,7 +117,7 @@
 	}
 	if e.record.State == Ready && e.damping.isActive(now) {
 		m.timed[subject] = struct{}{}
-		m.setView(now, e, Damped, ReasonDamped)
+		m.setView(now, subject, e, Damped, ReasonDamped)
 		return
 	}
 	reason := ReasonAnnounced
@@ -128,23 +128,23 @@
 		reason = ReasonDampingEnded
 	default:
 	}
-	m.setView(now, e, e.record.State, reason)
+	m.setView(now, subject, e, e.record.State, reason)
 }
 
-func (m *Machine) setView(now time.Time, e *targetEntry, state State, reason Reason) {
+func (m *Machine) setView(now time.Time, subject id, e *targetEntry, state State, reason Reason) {
 	if e.view == state && e.shown == e.record.Incarnation {
 		return
 	}
 	if state == Failed && e.view != 0 && e.view != Failed {
 		e.fail(now)
 	}
-	e.endedAt = zeroTime
+	e.endedAt = 0
 	if state == Failed || state == Gone {
-		e.endedAt = now
+		e.endedAt = instantOf(now)
 	}
 	e.view = state
 	e.shown = e.record.Incarnation
-	m.act(TargetChanged{Target: e.inView(), Reason: reason})
+	m.act(TargetChanged{Target: e.inView(subject), Reason: reason})
 }
 
 // expireTimers evaluates the targets whose view depends on the time.
