--- a/integration/flows_test.go
+++ b/integration/flows_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -21,17 +22,38 @@
 
 	It("survive a restart of each balancer in turn", func() {
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		for _, b := range e.Balancers {
 			Expect(b.Restart(stopLimit)).To(Succeed())
 			Expect(e.AwaitBalancer(b)).To(Succeed())
 		}
 		fresh.expectServed()
+		talks.expectUnbroken()
+		open.expectWhole()
+	})
+
+	It("send no more answers to a balancer that has stopped", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		stopped := e.Balancers[0]
+		Expect(stopped.Stop(stopLimit)).To(Succeed())
+		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(dataAddress(stopped)))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = socket.Close() }()
+		Expect(socket.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+		lost := 0
+		for buffer := make([]byte, 2048); ; lost++ {
+			if _, err := socket.Read(buffer); err != nil {
+				break
+			}
+		}
+		Expect(lost).To(BeZero(), "answers sent to a balancer that has stopped")
 		open.expectWhole()
 	})
 
 	It("survive the replacement of all balancers at once", func() {
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		for _, b := range e.Balancers {
 			Expect(b.Signal(syscall.SIGTERM)).To(Succeed())
@@ -42,6 +64,7 @@
 		}
 		Expect(e.AwaitBalancers()).To(Succeed())
 		fresh.expectServed()
+		talks.expectUnbroken()
 		open.expectWhole()
 	})
 
@@ -54,6 +77,22 @@
 		open.expectWhole()
 	})
 
+	It("survive two balancers killed without warning and replaced 2 s later", func() {
+		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
+		fresh := startArrivals(e)
+		for _, b := range e.Balancers[:2] {
+			Expect(b.Kill()).To(Succeed())
+		}
+		time.Sleep(2 * time.Second)
+		for _, b := range e.Balancers[:2] {
+			Expect(b.Start()).To(Succeed())
+		}
+		open.expectWhole()
+		talks.expectUnbroken()
+		fresh.expectServed()
+	})
+
 	It("survive the drain of two targets, whose agents end by themselves", func() {
 		open := openFeeds(e, feedCount, feedEvents)
 		fresh := startArrivals(e)
@@ -72,8 +111,10 @@
 	DescribeTable("survive faults of the fabric", func(faults fabric.Faults) {
 		Expect(e.SetFabricFaults(faults)).To(Succeed())
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		open.expectWhole()
+		talks.expectUnbroken()
 		fresh.expectServed()
 	},
 		Entry("loss of 5 %", fabric.Faults{Loss: 0.05}),
@@ -84,11 +125,13 @@
 
 	It("survive a path cut of 2 s", func() {
 		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
 		fresh := startArrivals(e)
 		Expect(e.SetFabricFaults(fabric.Faults{Cut: true})).To(Succeed())
 		time.Sleep(2 * time.Second)
 		Expect(e.SetFabricFaults(fabric.Faults{})).To(Succeed())
 		fresh.expectServed()
+		talks.expectUnbroken()
 		open.expectWhole()
 	})
 })
--- a/internal/agent/returns.go
+++ b/internal/agent/returns.go
@@ -72,6 +72,15 @@
 	return now.Sub(p.at) < returnWindow
 }
 
+// left takes a balancer that ends out of the rotation.
+func (r *returns) left(balancer netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if place, isKnown := r.places[balancer]; isKnown {
+		r.paths[place].at = time.Time{}
+	}
+}
+
 // next returns the balancer for the next answer. When none was heard of within the window it returns the one heard
 // of last; it reports false when none was ever heard of.
 func (r *returns) next() (netip.AddrPort, bool) {
--- a/internal/balancer/configuration.go
+++ b/internal/balancer/configuration.go
@@ -21,7 +21,7 @@
 	switch outcome {
 	case revision.Applied:
 		b.counters.revision.Update(float64(r.ID.Number))
-		b.rebuild()
+		b.updateTables(declared)
 		b.openListeners(declared)
 		b.log.Emit(events.RevisionApplied, events.F("revision", r.ID.Number), events.F("change", r.ID.Change),
 			events.F("source", source))
--- a/internal/balancer/stop_test.go
+++ b/internal/balancer/stop_test.go
@@ -55,7 +55,11 @@
 
 func fillInbound(t *testing.T, b *Balancer, front *listener, agent netip.AddrPort) {
 	t.Helper()
-	id := b.codec.Load().Encode(connid.ID{Agent: agent, Service: 1, Class: class.Feed})
+	codec, err := connid.NewCodec(b.keys.Load())
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := codec.Encode(connid.ID{Agent: agent, Service: 1, Class: class.Feed})
 	datagram := append([]byte{0x40}, id[:]...)
 	for range stopTestBatches {
 		received := newBatch()
