Show a changed record of the same incarnation

Cause: the view compared only the state and the incarnation, so that new slots within an incarnation were not shown. Proof: TestNewSlotsOfATargetAreShown printed "node 0 shows 5 slots, expected 9" before and passes now.

--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -74,9 +74,9 @@
 	record    packedTarget
 	observers []observation
 	view      State
-	// shown is the incarnation in the view.
-	shown   uint64
-	damping *damping
+	// isRenewed is true when the record has changed since it was shown.
+	isRenewed bool
+	damping   *damping
 	// orphanedAt is when the last live home was lost, or zero.
 	orphanedAt instant
 	// endedAt is when the view became gone or failed, or zero.
--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -24,6 +24,18 @@
 	settled(t, 30, 50)
 }
 
+func TestNewSlotsOfATargetAreShown(t *testing.T) {
+	w := settled(t, 3, 4)
+	w.agents[1].target.Slots = 9
+	w.agents[1].target.Sequence++
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		if got := n.views[w.agents[1].target.Agent].Slots; got != 9 {
+			t.Fatalf("node %d shows %d slots, expected 9", n.index, got)
+		}
+	}
+}
+
 func TestKilledTargetFailsWithinThreeSeconds(t *testing.T) {
 	w := settled(t, 3, 10)
 	w.agents[4].isUp = false
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -93,6 +93,7 @@
 		m.noteRestart(e, t)
 	}
 	e.record = pack(t)
+	e.isRenewed = true
 	m.toggleTarget(subject, e.record)
 	m.dropStale(subject, &e.observers, t.Incarnation, t.State == Gone)
 	m.changed[subject] = struct{}{}
--- a/internal/member/verdict.go
+++ b/internal/member/verdict.go
@@ -132,7 +132,7 @@
 }
 
 func (m *Machine) setView(now time.Time, subject id, e *targetEntry, state State, reason Reason) {
-	if e.view == state && e.shown == e.record.Incarnation {
+	if e.view == state && !e.isRenewed {
 		return
 	}
 	if state == Failed && e.view != 0 && e.view != Failed {
@@ -143,7 +143,7 @@
 		e.endedAt = instantOf(now)
 	}
 	e.view = state
-	e.shown = e.record.Incarnation
+	e.isRenewed = false
 	m.act(TargetChanged{Target: e.inView(subject), Reason: reason})
 }
 
