--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -153,6 +153,8 @@
 		case member.BalancerChanged:
 			m.isChanged = true
 			m.balancer.logBalancer(x)
+		case member.ReturnsChanged:
+			m.balancer.state.setReturns(x.Agents)
 		case member.ZoneChanged:
 			m.balancer.log.Emit(events.ZoneChanged, events.F("zone", x.Zone), events.F("is_lost", x.IsLost),
 				events.F("subjects", x.Subjects))
@@ -164,9 +166,9 @@
 		before := m.balancer.state.setTargets(changed)
 		m.balancer.updateTargets(before, changed)
 	}
-	if len(changed) > 0 || m.isChanged {
+	if m.isChanged {
 		m.isChanged = false
-		m.balancer.state.setMembers(m.machine.Balancers(), m.machine.ReturnTargets())
+		m.balancer.state.setBalancers(m.machine.Balancers())
 	}
 }
 
