--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -44,6 +44,8 @@
 	peers    *peers
 	// colleagues tells agents of others of the same service.
 	colleagues *colleagues
+	// policyTold is the revision of the policy that each agent was told last.
+	policyTold map[*session]uint64
 	// repliedAt is when the agents were last told that this balancer lives.
 	repliedAt time.Time
 	isChanged bool
@@ -60,6 +62,7 @@
 		arrivals:   ring.New[arrival](arrivalCapacity),
 		agents:     make(map[netip.AddrPort]*session),
 		agentOf:    make(map[*session]netip.AddrPort),
+		policyTold: make(map[*session]uint64),
 		peers:      newPeers(b, self),
 		colleagues: newColleagues(),
 	}
@@ -111,6 +114,7 @@
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
 	m.colleagues.forget(s)
+	delete(m.policyTold, s)
 	if agent, ok := m.agentOf[s]; ok {
 		delete(m.agentOf, s)
 		if m.agents[agent] == s {
@@ -133,7 +137,9 @@
 	if now.Sub(m.repliedAt) >= agentReplyInterval {
 		m.repliedAt = now
 		for agent, s := range m.agents {
-			s.send(control.Message{AnnounceReply: &control.AnnounceReply{Peers: m.colleagues.news(agent, s)}})
+			s.send(control.Message{AnnounceReply: &control.AnnounceReply{
+				Peers: m.colleagues.news(agent, s), Policy: m.newPolicy(agent, s),
+			}})
 		}
 	}
 }
@@ -193,7 +199,7 @@
 func (m *membership) reply(r member.Reply) {
 	if s := m.agents[r.Agent]; s != nil {
 		s.send(control.Message{AnnounceReply: &control.AnnounceReply{
-			Homes: r.Homes, Spares: r.Spares, Incarnation: r.Incarnation,
+			Homes: r.Homes, Spares: r.Spares, Incarnation: r.Incarnation, Policy: m.newPolicy(r.Agent, s),
 		}})
 	}
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -30,6 +30,8 @@
 	Incarnation uint64 `msgpack:"incarnation"`
 	// Peers are agents of the same service, or nil when they are those told last.
 	Peers *PeerList `msgpack:"peers,omitempty"`
+	// Policy is what the tables declare for the agent's pool, or nil when they declare no such pool.
+	Policy *PoolPolicy `msgpack:"policy,omitempty"`
 }
 
 // PeerList holds the control addresses of agents whose targets are ready.
