Serve every address of a port with one socket, and close those of removed routes

Cause: a balancer opened a socket for each address; at 66,000 addresses that is beyond any limit of files. The path took a read lock for each datagram. A route that moved to another address on the same port kept the old address under bind-ip, and sockets of removed routes stayed open for good. Change: without bind-ip one socket a port on 0.0.0.0, with IP_PKTINFO for the address used by the caller; a map that is replaced whole in place of the lock; sockets close once no route uses the port and nothing passed for 90 s. Proof: TestOneSocketServesEveryAddressOfAPort (without setLocal: 'answer from 127.0.0.1:38748, expected it from 127.77.0.1:38748'), TestBindIPFollowsTheAddressOfTheRoute (without serve: 'serves 127.0.0.1:53294'), TestSocketOfARemovedRouteClosesWhenIdle (without the idle check: closed at 45 s).

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -152,6 +152,7 @@
 	b.group.Go("watch store", b.watchStore)
 	b.group.Go("membership", b.membership.run)
 	b.group.Go("heartbeat", b.sendHeartbeats)
+	b.group.Go("close idle listeners", b.closeIdleListeners)
 	b.group.Go("stop", func(running context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/internal/balancer/batch.go
+++ b/internal/balancer/batch.go
@@ -19,7 +19,9 @@
 type batch struct {
 	messages []ipv4.Message
 	buffers  [][]byte
-	peers    []net.UDPAddr
+	// locals hold the control messages of sockets that serve several local addresses.
+	locals [][]byte
+	peers  []net.UDPAddr
 	// count is the number of datagrams in use.
 	count int
 	// source is the listener that received the batch, or that must send it.
@@ -30,10 +32,12 @@
 	b := &batch{
 		messages: make([]ipv4.Message, batchDatagrams),
 		buffers:  make([][]byte, batchDatagrams),
+		locals:   make([][]byte, batchDatagrams),
 		peers:    make([]net.UDPAddr, batchDatagrams),
 	}
 	for i := range b.messages {
 		b.buffers[i] = make([]byte, bufferBytes)
+		b.locals[i] = make([]byte, localBytes)
 		b.peers[i].IP = make(net.IP, net.IPv4len)
 		b.messages[i].Buffers = [][]byte{b.buffers[i]}
 		b.messages[i].Addr = &b.peers[i]
@@ -41,10 +45,14 @@
 	return b
 }
 
-// prepareRead gives every message its whole buffer.
-func (b *batch) prepareRead() {
+// prepareRead gives every message its whole buffer, and room for the local address when that is asked for.
+func (b *batch) prepareRead(hasLocal bool) {
 	for i := range b.messages {
 		b.messages[i].Buffers[0] = b.buffers[i]
+		b.messages[i].OOB = nil
+		if hasLocal {
+			b.messages[i].OOB = b.locals[i]
+		}
 	}
 }
 
@@ -76,9 +84,17 @@
 	peer.Port = int(receiver.Port())
 	b.messages[b.count].Buffers[0] = datagram
 	b.messages[b.count].Addr = peer
+	b.messages[b.count].OOB = nil
 	b.count++
 }
 
+// setLocal makes the datagram that was added last leave from the given local address.
+func (b *batch) setLocal(source netip.Addr) {
+	at := b.count - 1
+	writeLocal(b.locals[at], source)
+	b.messages[at].OOB = b.locals[at]
+}
+
 func (b *batch) isFull() bool {
 	return b.count == len(b.messages)
 }
--- a/internal/balancer/listeners.go
+++ b/internal/balancer/listeners.go
@@ -2,60 +2,68 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/tables"
 )
 
-// listeners holds the sockets for the ports of the routes.
+const (
+	// listenerIdle is how long the socket of a removed route stays open after its last datagram. It exceeds the idle
+	// timeout of a caller's connection.
+	listenerIdle          = 90 * time.Second
+	listenerCheckInterval = 10 * time.Second
+)
+
+// listeners holds one socket for each port of the routes.
 type listeners struct {
 	bindIP netip.Addr
-	mu     sync.RWMutex
-	// byAddress maps a route's address to its socket.
-	byAddress map[netip.AddrPort]*listener
-	// addresses maps a socket's bound address to the route's address.
-	addresses map[netip.AddrPort]netip.AddrPort
+	// mu is held while byPort is replaced.
+	mu sync.Mutex
+	// byPort is immutable once stored, so that the data path reads it without a lock.
+	byPort atomic.Pointer[map[uint16]*listener]
+	// needed holds the ports of the routes in force.
+	needed map[uint16]struct{}
 }
 
 func newListeners(bindIP netip.Addr) *listeners {
-	return &listeners{
-		bindIP:    bindIP,
-		byAddress: make(map[netip.AddrPort]*listener),
-		addresses: make(map[netip.AddrPort]netip.AddrPort),
-	}
+	l := &listeners{bindIP: bindIP}
+	l.byPort.Store(&map[uint16]*listener{})
+	return l
 }
 
-func (l *listeners) bindAddress(address netip.AddrPort) netip.AddrPort {
-	if !l.bindIP.IsValid() {
-		return address
+// open opens the socket for the port of a route's address: one on every address of the VM, or one on the bind IP.
+func (l *listeners) open(address netip.AddrPort) (*listener, error) {
+	if l.bindIP.IsValid() {
+		return openListener(netip.AddrPortFrom(l.bindIP, address.Port()))
 	}
-	return netip.AddrPortFrom(l.bindIP, address.Port())
+	return openWildcard(address.Port())
 }
 
 // through returns the socket from which answers of a route's address leave, or nil.
 func (l *listeners) through(address netip.AddrPort) *listener {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	return l.byAddress[address]
-}
-
-// address returns the route's address that a socket serves.
-func (l *listeners) address(from *listener) netip.AddrPort {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	return l.addresses[from.bind]
+	return (*l.byPort.Load())[address.Port()]
 }
 
-// missing returns the addresses of routes that have no socket.
+// missing notes the addresses of routes and returns those whose port has no socket, one for each port.
 func (l *listeners) missing(declared *tables.Tables) []netip.AddrPort {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	present := *l.byPort.Load()
+	l.needed = make(map[uint16]struct{})
 	var list []netip.AddrPort
-	for _, r := range declared.Routes {
-		if l.byAddress[r.Address] == nil {
-			list = append(list, r.Address)
+	for i := range declared.Routes {
+		address := declared.Routes[i].Address
+		_, isNoted := l.needed[address.Port()]
+		l.needed[address.Port()] = struct{}{}
+		if opened := present[address.Port()]; opened != nil {
+			opened.serve(address)
+		} else if !isNoted {
+			list = append(list, address)
 		}
 	}
 	return list
@@ -64,33 +72,69 @@
 func (l *listeners) add(address netip.AddrPort, opened *listener) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.byAddress[address] = opened
-	l.addresses[opened.bind] = address
+	opened.serve(address)
+	opened.use(time.Now())
+	next := maps.Clone(*l.byPort.Load())
+	next[address.Port()] = opened
+	l.byPort.Store(&next)
+}
+
+// removeIdle takes out the sockets whose port no route uses and that have carried nothing for listenerIdle.
+func (l *listeners) removeIdle(now time.Time) []*listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var idle []*listener
+	next := maps.Clone(*l.byPort.Load())
+	for port, opened := range next {
+		if _, isNeeded := l.needed[port]; !isNeeded && opened.isIdle(now) {
+			idle = append(idle, opened)
+			delete(next, port)
+		}
+	}
+	l.byPort.Store(&next)
+	return idle
 }
 
 // close closes every socket.
 func (l *listeners) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, opened := range l.byAddress {
+	for _, opened := range *l.byPort.Load() {
 		opened.close()
 	}
 }
 
-// openListeners opens the sockets that the declared routes need. A socket whose route was removed stays open, since
-// flows that are open on it go on.
+// openListeners opens the sockets that the declared routes need. The socket of a removed route stays open until it is
+// idle, since flows that are open on it go on.
 func (b *Balancer) openListeners(declared *tables.Tables) {
 	for _, address := range b.listeners.missing(declared) {
-		bind := b.listeners.bindAddress(address)
-		opened, err := openListener(bind)
+		opened, err := b.listeners.open(address)
 		if err != nil {
-			b.log.Emit(events.ListenerFailed, events.F("bind", bind.String()), events.Err(err))
+			b.log.Emit(events.ListenerFailed, events.F("bind", address.String()), events.Err(err))
 			continue
 		}
 		b.listeners.add(address, opened)
-		b.log.Emit(events.ListenerOpened, events.F("bind", bind.String()))
-		b.group.Go("receive on "+bind.String(), func(ctx context.Context) error {
+		b.log.Emit(events.ListenerOpened, events.F("bind", opened.bind.String()))
+		b.group.Go("receive on "+opened.bind.String(), func(ctx context.Context) error {
 			return b.receive(ctx, opened, b.inbound)
 		})
 	}
 }
+
+// closeIdleListeners closes the sockets of removed routes until ctx ends.
+func (b *Balancer) closeIdleListeners(ctx context.Context) error {
+	ticker := time.NewTicker(listenerCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, idle := range b.listeners.removeIdle(now) {
+				idle.stopReading()
+				idle.close()
+				b.log.Emit(events.ListenerClosed, events.F("bind", idle.bind.String()))
+			}
+		}
+	}
+}
--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -94,7 +94,7 @@
 func (b *Balancer) forwardInto(received, out *batch) {
 	out.source = b.fabric
 	for i := range received.count {
-		b.forward(received.source, received.datagram(i), received.sender(i), out)
+		b.forward(received.source.receiverOf(received, i), received.datagram(i), received.sender(i), out)
 	}
 }
 
@@ -110,12 +110,11 @@
 	}
 }
 
-func (b *Balancer) forward(from *listener, datagram []byte, caller netip.AddrPort, out *batch) {
+func (b *Balancer) forward(address netip.AddrPort, datagram []byte, caller netip.AddrPort, out *batch) {
 	if len(datagram) > maxDatagram {
 		b.counters.oversized.Inc(1)
 		return
 	}
-	address := b.listeners.address(from)
 	decision := b.table.Load().Decide(address, datagram)
 	b.counters.verdict(decision.Verdict)
 	b.logDecision(decision, caller)
@@ -181,6 +180,9 @@
 		}
 		out.source = through
 		out.add(append(out.next(), payload...), header.Caller)
+		if through.isWildcard {
+			out.setLocal(header.Address.Addr())
+		}
 	}
 	b.giveBack(received)
 	b.put(b.toCallers, out)
