--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -127,7 +127,7 @@
 		Service:  decision.Service,
 		Caller:   caller,
 		Address:  address,
-		Balancer: b.settings.Data,
+		Balancer: b.returnAddress(),
 		Second:   decision.Second,
 	}
 	out.add(envelope.Seal(out.next(), b.keys.Load(), header, datagram), decision.Agent)
@@ -184,6 +184,9 @@
 			out.setLocal(header.Address.Addr())
 		}
 	}
+	if b.isLeaving.Load() {
+		b.answerLeave(received)
+	}
 	b.giveBack(received)
 	b.put(b.toCallers, out)
 }
