--- a/internal/envelope/envelope_test.go
+++ b/internal/envelope/envelope_test.go
@@ -85,7 +85,8 @@
 		change func(h *envelope.Header)
 	}{
 		{"kind 0", func(h *envelope.Header) { h.Kind = 0 }},
-		{"kind 5", func(h *envelope.Header) { h.Kind = 5 }},
+		{"kind above the last one", func(h *envelope.Header) { h.Kind = envelope.Leave + 1 }},
+		{"leave without balancer", func(h *envelope.Header) { h.Kind, h.Balancer = envelope.Leave, netip.AddrPort{} }},
 		{"deliver without class", func(h *envelope.Header) { h.Class = 0 }},
 		{"deliver without caller", func(h *envelope.Header) { h.Caller = netip.AddrPort{} }},
 		{"deliver without address", func(h *envelope.Header) { h.Address = netip.AddrPort{} }},
