Name the file, line and field of a bad setting

Cause: errors of a settings file named neither file nor line, a field that stood twice was taken without a word, and an agent took service 65537 for service 1 and started without slots, target or balancers. Change: a parser of settings files on yaml nodes in place of ffyaml; the agent checks what it needs. Proof: TestErrorsNameFileLineAndField, 8 of 11 cases failed with ffyaml ('config file flag "zonne" not defined in flag set'; <nil> for the field that stands twice); TestPrecedence, TestMissingFile and TestHelp pass with both.

--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -4,9 +4,12 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"gentianswitch/internal/admit"
 	"gentianswitch/internal/agent"
 	"gentianswitch/internal/metrics"
@@ -43,10 +46,29 @@
 	if err := common.Check(); err != nil {
 		return program.ReportUsage(name, err)
 	}
+	if err := checkTarget(&common, own, service); err != nil {
+		return program.ReportUsage(name, err)
+	}
 	own.Service = uint16(service)
 	return start(&common, own)
 }
 
+// checkTarget reports the first setting of the target that is missing or out of range.
+func checkTarget(common *settings.Common, own agent.Settings, service uint) error {
+	switch {
+	case own.Target == "":
+		return common.Missing("target", "host:port")
+	case len(own.Balancers) == 0:
+		return common.Missing("balancers", "the control addresses of balancers")
+	case service < 1 || service > math.MaxUint16:
+		return eris.Errorf("setting service: %d, expected 1 to %d", service, math.MaxUint16)
+	case own.Slots < 1:
+		return eris.Errorf("setting slots: %d, expected at least 1", own.Slots)
+	default:
+		return nil
+	}
+}
+
 // definePolicy adds the settings of the admission and of its bounds.
 func definePolicy(fs *flag.FlagSet, own *agent.Settings) {
 	fs.StringVar(&own.Policy, "policy", admit.PolicyFull, "admission policy: full, or fifo as a baseline to compare with")
--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -7,8 +7,6 @@
 	"net/netip"
 	"os"
 
-	"github.com/rotisserie/eris"
-
 	"gentianswitch/internal/balancer"
 	"gentianswitch/internal/member"
 	"gentianswitch/internal/metrics"
@@ -49,7 +47,7 @@
 		return program.ReportUsage(name, err)
 	}
 	if own.Store == "" {
-		return program.ReportUsage(name, eris.New("setting store: missing, expected host:port"))
+		return program.ReportUsage(name, common.Missing("store", "host:port"))
 	}
 	if own.Detection, err = member.DetectionByName(detection); err != nil {
 		return program.ReportUsage(name, err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,7 +10,6 @@
 	"strings"
 
 	"github.com/peterbourgon/ff/v3"
-	"github.com/peterbourgon/ff/v3/ffyaml"
 	"github.com/rotisserie/eris"
 
 	"gentianswitch/internal/control"
@@ -20,14 +19,16 @@
 
 // Common are the settings that balancers and agents share.
 type Common struct {
-	Zone        string
-	Data        netip.AddrPort
-	Control     netip.AddrPort
-	Metrics     string
-	LogFormat   string
-	LogLevel    string
-	KeysFile    string
-	Files       control.Files
+	Zone      string
+	Data      netip.AddrPort
+	Control   netip.AddrPort
+	Metrics   string
+	LogFormat string
+	LogLevel  string
+	KeysFile  string
+	Files     control.Files
+	// File is the settings file, or empty for none.
+	File        string
 	IsCheckOnly bool
 	IsVersion   bool
 }
@@ -46,7 +47,7 @@
 	fs.StringVar(&c.Files.Authority, "authority", "", "PEM `file` with the authority of all certificates")
 	fs.BoolVar(&c.IsCheckOnly, "check", false, "validate the settings and exit")
 	fs.BoolVar(&c.IsVersion, "version", false, "print the version and exit")
-	fs.String("settings", "", "YAML `file` with settings; its fields have the names of the flags")
+	fs.StringVar(&c.File, fileFlag, "", "YAML `file` with settings; its fields have the names of the flags")
 }
 
 // Check reports the first common setting that is missing.
@@ -65,12 +66,20 @@
 	}
 	for _, r := range required {
 		if !r.isPresent {
-			return eris.Errorf("setting %s: missing, expected a value", r.name)
+			return c.Missing(r.name, "a value")
 		}
 	}
 	return nil
 }
 
+// Missing returns the error for a setting that neither the flags, the environment nor the settings file gives.
+func (c *Common) Missing(name, expected string) error {
+	if c.File != "" {
+		return eris.Errorf("%s: field %s: missing, expected %s", c.File, name, expected)
+	}
+	return eris.Errorf("setting %s: missing, expected %s", name, expected)
+}
+
 // Secrets loads the keys and the certificates that the settings name.
 func (c *Common) Secrets() (*keys.Set, *control.Credentials, error) {
 	set, err := keys.Load(c.KeysFile)
@@ -88,8 +97,8 @@
 	fs.Usage = func() { usage(fs, example) }
 	err := ff.Parse(fs, args,
 		ff.WithEnvVarPrefix("GENTIAN"),
-		ff.WithConfigFileFlag("settings"),
-		ff.WithConfigFileParser(ffyaml.Parser),
+		ff.WithConfigFileFlag(fileFlag),
+		ff.WithConfigFileParser(fileParser(fs)),
 	)
 	if eris.Is(err, flag.ErrHelp) {
 		return flag.ErrHelp
