--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,13 @@
 FUZZTIME ?= 20s
 FUZZ_TARGETS := connid:FuzzDecode packet:FuzzParse envelope:FuzzOpen keys:FuzzParse frame:FuzzRead
 
-.PHONY: build test race lint format docs fuzz
+# Benchmarks, their output and its JSON.
+BENCHTIME ?= 200ms
+BENCH ?= .
+BENCH_DIR := bin/bench
+BENCH_PACKAGES := ./internal/route ./internal/balancer ./internal/revision ./internal/member
+
+.PHONY: build test race lint format docs fuzz bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -33,6 +39,12 @@
 	go vet ./...
 	$(LINT) run ./...
 
+# Prints each figure, ratios against baselines of the same run among them, and writes bin/bench/bench.txt and .json.
+bench:
+	@mkdir -p $(BENCH_DIR)
+	go test -p 1 -run '^$$' -bench '$(BENCH)' -benchmem -benchtime $(BENCHTIME) -timeout 20m $(BENCH_PACKAGES) > $(BENCH_DIR)/bench.txt; \
+	  status=$$?; cat $(BENCH_DIR)/bench.txt; go tool test2json < $(BENCH_DIR)/bench.txt > $(BENCH_DIR)/bench.json; exit $$status
+
 # Each decoder is fuzzed for FUZZTIME, one after the other.
 fuzz:
 	@for target in $(FUZZ_TARGETS); do \
@@ -44,3 +56,4 @@
 
 docs:
 	go test ./internal/events -run TestEventsPageIsCurrent -update-events
+	go test ./internal/metrics -run TestMetricsPageIsCurrent -update-metrics
--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -91,7 +91,7 @@
 		fmt.Println("settings are valid")
 		return program.ExitOK
 	}
-	stats := metrics.New("gentian_agent")
+	stats := metrics.New(metrics.Agent)
 	a, err := agent.New(own, set, credentials, log, stats, time.Now())
 	if err != nil {
 		return program.ReportUsage(name, err)
--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -73,7 +73,7 @@
 		fmt.Println("settings are valid")
 		return program.ExitOK
 	}
-	stats := metrics.New("gentian_balancer")
+	stats := metrics.New(metrics.Balancer)
 	b, err := balancer.New(own, set, credentials, store.NewHTTP(own.Store), log, stats)
 	if err != nil {
 		return program.ReportUsage(name, err)
