--- /dev/null
+++ b/internal/balancer/size_test.go
@@ -0,0 +1,75 @@
+package balancer
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/envelope"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/member"
+	"gentianswitch/internal/tables"
+)
+
+func heapBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func sizedAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 4400)
+}
+
+// BenchmarkTargetRecords prints the memory of the records that the status shows, beside those of the state machine.
+func BenchmarkTargetRecords(b *testing.B) {
+	for _, size := range []int{1_000, 8_000, 30_000, 120_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				s := newState()
+				for n := range size {
+					s.setTargets([]member.Target{{Agent: sizedAddress(n), Control: sizedAddress(n), Service: 1, Zone: "quito"}})
+				}
+				b.ReportMetric(float64(heapBytes()-before)/float64(size), "B/target")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+// BenchmarkDeclaredRoutes prints the memory of the declared routes.
+func BenchmarkDeclaredRoutes(b *testing.B) {
+	for _, size := range []int{1_000, 8_000, 30_000, 66_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				var t tables.Tables
+				for n := range size {
+					t.Routes = append(t.Routes, tables.Route{
+						Name: fmt.Sprintf("route-%06d", n), Address: sizedAddress(n), Pool: fmt.Sprintf("pool-%06d", n), Class: class.Short,
+					})
+				}
+				b.ReportMetric(float64(heapBytes()-before)/float64(size), "B/route")
+				runtime.KeepAlive(&t)
+			}
+		})
+	}
+}
+
+// BenchmarkHeartbeat prints the bytes of a heartbeat to an agent and the time to seal it.
+func BenchmarkHeartbeat(b *testing.B) {
+	set, err := keys.NewSet([]keys.Key{{ID: 1}}, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	header := envelope.Header{Kind: envelope.Heartbeat, Balancer: sizedAddress(1)}
+	var out []byte
+	for b.Loop() {
+		out = envelope.Seal(out[:0], set, header, nil)
+	}
+	b.ReportMetric(float64(len(out)), "B")
+}
