--- a/internal/balancer/listeners.go
+++ b/internal/balancer/listeners.go
@@ -26,8 +26,8 @@
 	mu sync.Mutex
 	// byPort is immutable once stored, so that the data path reads it without a lock.
 	byPort atomic.Pointer[map[uint16]*listener]
-	// needed holds the ports of the routes in force.
-	needed map[uint16]struct{}
+	// isNeeded tells for each port whether a route in force uses it.
+	isNeeded [1 << 16]bool
 }
 
 func newListeners(bindIP netip.Addr) *listeners {
@@ -54,12 +54,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	present := *l.byPort.Load()
-	l.needed = make(map[uint16]struct{})
+	clear(l.isNeeded[:])
 	var list []netip.AddrPort
 	for i := range declared.Routes {
 		address := declared.Routes[i].Address
-		_, isNoted := l.needed[address.Port()]
-		l.needed[address.Port()] = struct{}{}
+		isNoted := l.isNeeded[address.Port()]
+		l.isNeeded[address.Port()] = true
+		if isNoted && !l.bindIP.IsValid() {
+			continue
+		}
 		if opened := present[address.Port()]; opened != nil {
 			opened.serve(address)
 		} else if !isNoted {
@@ -86,7 +89,7 @@
 	var idle []*listener
 	next := maps.Clone(*l.byPort.Load())
 	for port, opened := range next {
-		if _, isNeeded := l.needed[port]; !isNeeded && opened.isIdle(now) {
+		if !l.isNeeded[port] && opened.isIdle(now) {
 			idle = append(idle, opened)
 			delete(next, port)
 		}
--- a/internal/balancer/size_test.go
+++ b/internal/balancer/size_test.go
@@ -73,3 +73,36 @@
 	}
 	b.ReportMetric(float64(len(out)), "B")
 }
+
+// BenchmarkReaderCheck prints the cost of the check whether this balancer reads the store, which runs twice a second.
+func BenchmarkReaderCheck(b *testing.B) {
+	for _, size := range []int{100, 1_000, 4_000, 17_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			made := &Balancer{settings: Settings{Control: sizedAddress(0), Zone: "zone-0"}, state: newState()}
+			var live []member.Balancer
+			for n := range size {
+				live = append(live, member.Balancer{Control: sizedAddress(n), Zone: fmt.Sprintf("zone-%d", n%9)})
+			}
+			made.state.setMembers(live, nil)
+			for b.Loop() {
+				made.isStoreReader()
+			}
+		})
+	}
+}
+
+// BenchmarkListenerCheck prints the cost of the search for ports without a socket, which each change runs.
+func BenchmarkListenerCheck(b *testing.B) {
+	for _, size := range []int{1_000, 8_000, 30_000, 66_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var t tables.Tables
+			for n := range size {
+				t.Routes = append(t.Routes, tables.Route{Address: sizedAddress(n)})
+			}
+			l := newListeners(netip.Addr{})
+			for b.Loop() {
+				l.missing(&t)
+			}
+		})
+	}
+}
