--- a/integration/flows_test.go
+++ b/integration/flows_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gentianswitch/internal/class"
 	"gentianswitch/internal/emulator"
 	"gentianswitch/internal/standin/fabric"
 )
@@ -68,6 +69,47 @@
 		open.expectWhole()
 	})
 
+	It("survive the replacement of every balancer by one at another address", func() {
+		open := openFeeds(e, feedCount, 2*feedEvents)
+		talks := startConversations(e)
+		fresh := startArrivals(e)
+		for _, former := range append([]*emulator.Process(nil), e.Balancers...) {
+			b, err := e.AddBalancer()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(e.AwaitBalancer(b)).To(Succeed())
+			Expect(e.RemoveBalancer(former)).To(Succeed())
+			Expect(former.Stop(stopLimit)).To(Succeed())
+		}
+		talks.awaitProgress()
+		fresh.expectServed()
+		talks.expectUnbroken()
+		open.expectWhole()
+	})
+
+	It("survive tables that change all the time, so that balancers hold different revisions", func() {
+		const changes = 12
+		open := openFeeds(e, feedCount, feedEvents)
+		talks := startConversations(e)
+		fresh := startArrivals(e)
+		for i := range changes {
+			// Every other revision moves the feeds to the other pool and adds a route.
+			changed := e.Deployment
+			if i%2 == 0 {
+				changed.Routes = append([]emulator.Route(nil), changed.Routes...)
+				changed.Routes[0].Pool = changed.Pools[1].Name
+				changed.Routes = append(changed.Routes, emulator.Route{
+					Name: "spare", Port: emulator.PortSpare, Pool: changed.Pools[1].Name, Class: class.Long,
+				})
+			}
+			Expect(e.Apply(changed)).To(Succeed())
+			time.Sleep(200 * time.Millisecond)
+		}
+		talks.awaitProgress()
+		fresh.expectServed()
+		talks.expectUnbroken()
+		open.expectWhole()
+	})
+
 	It("survive two balancers killed without warning", func() {
 		open := openFeeds(e, feedCount, feedEvents)
 		time.Sleep(1500 * time.Millisecond)
