Hold a whole session to golden files

One scripted session of two balancers and two targets: start, feed, short request, upload, apply, drain with an open feed, stop. Each phase has a golden file of the numbered events with their stable keys, each once for each kind of process; events that depend on the order of starts and connections are left out.

--- /dev/null
+++ b/integration/golden_test.go
@@ -0,0 +1,149 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/standin/callers"
+)
+
+// stableKeys are the keys whose values are the same in every session, by event. Events that are not listed depend on
+// the order in which processes start and connect, and are left out.
+var stableKeys = map[int][]string{
+	100: {"program", "version"}, 102: {"error"}, 103: {"current"}, 104: {},
+	200: {"route", "pool"}, 201: {"route", "pool"}, 202: {"bind"}, 203: {"bind"}, 204: {"bind"},
+	300: {"agent", "service", "state"},
+	400: {"revision"}, 401: {"revision", "known"},
+	500: {"request", "class", "reason"}, 501: {"request", "class"}, 502: {"request", "class", "reason"},
+	503: {"request", "class", "outcome", "status"}, 504: {"request"}, 505: {"reason"}, 506: {"request"}, 507: {"request"},
+	600: {"feeds", "requests"}, 601: {}, 602: {}, 603: {},
+}
+
+const (
+	sessionFeedEvents = 20
+	settleTime        = 2 * time.Second
+)
+
+// session writes the events of each phase of a scripted session to a golden file.
+type session struct {
+	emulator *emulator.Emulator
+	golden   *goldie.Goldie
+	read     map[string]int
+}
+
+// end compares the events since the end of the former phase with the golden file of this one. Lines of other
+// processes may come late, so it waits until they agree. With GOLDIE_UPDATE=true it writes the files anew.
+func (s *session) end(phase string) {
+	GinkgoHelper()
+	expected, err := os.ReadFile(s.golden.GoldenFileName(GinkgoTB(), phase))
+	if err != nil || os.Getenv("GOLDIE_UPDATE") != "" {
+		time.Sleep(settleTime)
+	} else {
+		Eventually(func() string { return s.events() }, openLimit).Should(Equal(string(expected)), phase)
+	}
+	s.golden.Assert(GinkgoTB(), phase, []byte(s.events()))
+	for _, p := range s.emulator.All() {
+		s.read[p.Name] = len(logOf(p))
+	}
+}
+
+// events returns the events of the phase, each once for each kind of process that logged it, in a fixed order.
+func (s *session) events() string {
+	var lines []string
+	for _, p := range s.emulator.All() {
+		kind, _, _ := strings.Cut(p.Name, "-")
+		scanner := bufio.NewScanner(strings.NewReader(logOf(p)[s.read[p.Name]:]))
+		for scanner.Scan() {
+			if line := normalize(scanner.Bytes()); line != "" {
+				lines = append(lines, kind+" "+line)
+			}
+		}
+	}
+	slices.Sort(lines)
+	return strings.Join(slices.Compact(lines), "\n") + "\n"
+}
+
+func logOf(p *emulator.Process) string {
+	raw, err := os.ReadFile(p.LogFile())
+	if err != nil {
+		return ""
+	}
+	return string(raw)
+}
+
+var loopbackBlock = regexp.MustCompile(`127\.\d+\.\d+\.`)
+
+// normalize returns the event number, the name and the stable keys of a log line, or nothing for other lines.
+func normalize(raw []byte) string {
+	var fields map[string]any
+	if json.Unmarshal(raw, &fields) != nil {
+		return ""
+	}
+	number, _ := fields["event"].(float64)
+	keys, isStable := stableKeys[int(number)]
+	if !isStable || fields["state"] == "starting" {
+		return ""
+	}
+	line := fmt.Sprintf("%d %s", int(number), fields["msg"])
+	for _, key := range keys {
+		line += fmt.Sprintf(" %s=%v", key, fields[key])
+	}
+	return loopbackBlock.ReplaceAllString(line, "VM-")
+}
+
+var _ = Describe("A whole session", func() {
+	It("logs the events of the golden files", func() {
+		deployment := small()
+		deployment.Balancers = 2
+		deployment.Pools[0].Hosts = 1
+		deployment.Pools[1].Hosts = 1
+		e := start(deployment)
+		s := &session{
+			emulator: e, read: make(map[string]int),
+			golden: goldie.New(GinkgoTB(), goldie.WithFixtureDir("testdata/session")),
+		}
+		s.end("1-start")
+
+		feed := callers.Request{ID: "feed", Class: class.Feed, Events: 5, Interval: 10 * time.Millisecond}
+		Expect(call(e, emulator.PortFeed, feed).Outcome).To(Equal(callers.Done))
+		s.end("2-feed")
+
+		short := callers.Request{ID: "short", Class: class.Short, Body: []byte("notice")}
+		Expect(call(e, emulator.PortShort, short).Outcome).To(Equal(callers.Done))
+		s.end("3-short")
+
+		upload := callers.Request{ID: "upload", Class: class.Long, Body: make([]byte, 100_000)}
+		Expect(call(e, emulator.PortLong, upload).Outcome).To(Equal(callers.Done))
+		s.end("4-upload")
+
+		deployment.Routes = append(append([]emulator.Route(nil), deployment.Routes...), emulator.Route{
+			Name: "announcements", Port: emulator.PortSpare, Pool: deployment.Pools[0].Name, Class: class.Short,
+		})
+		Expect(e.Apply(deployment)).To(Succeed())
+		s.end("5-apply")
+
+		open := openFeeds(e, 1, sessionFeedEvents)
+		Expect(e.Agents[0].Signal(syscall.SIGTERM)).To(Succeed())
+		open.expectWhole()
+		Expect(e.Agents[0].Wait(stopLimit)).To(Succeed())
+		s.end("6-drain")
+
+		for _, p := range append(append([]*emulator.Process(nil), e.Agents[1]), e.Balancers...) {
+			Expect(p.Stop(stopLimit)).To(Succeed())
+		}
+		s.end("7-stop")
+	})
+})
