--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -42,10 +42,10 @@
 	agents   map[netip.AddrPort]*session
 	agentOf  map[*session]netip.AddrPort
 	peers    *peers
-	// policyTold is the revision of the policy that each agent was told last.
-	policyTold map[*session]uint64
 	// colleagues tells agents of others of the same service.
 	colleagues *colleagues
+	// policyTold is the revision of the policy that each agent was told last.
+	policyTold map[*session]uint64
 	// repliedAt is when the agents were last told that this balancer lives.
 	repliedAt time.Time
 	isChanged bool
@@ -62,8 +62,8 @@
 		arrivals:   ring.New[arrival](arrivalCapacity),
 		agents:     make(map[netip.AddrPort]*session),
 		agentOf:    make(map[*session]netip.AddrPort),
-		peers:      newPeers(b, self),
 		policyTold: make(map[*session]uint64),
+		peers:      newPeers(b, self),
 		colleagues: newColleagues(),
 	}
 }
@@ -113,8 +113,8 @@
 
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
-	delete(m.policyTold, s)
 	m.colleagues.forget(s)
+	delete(m.policyTold, s)
 	if agent, ok := m.agentOf[s]; ok {
 		delete(m.agentOf, s)
 		if m.agents[agent] == s {
@@ -138,7 +138,7 @@
 		m.repliedAt = now
 		for agent, s := range m.agents {
 			s.send(control.Message{AnnounceReply: &control.AnnounceReply{
-				Policy: m.newPolicy(agent, s), Peers: m.colleagues.news(agent, s),
+				Peers: m.colleagues.news(agent, s), Policy: m.newPolicy(agent, s),
 			}})
 		}
 	}
@@ -159,6 +159,8 @@
 		case member.BalancerChanged:
 			m.isChanged = true
 			m.balancer.logBalancer(x)
+		case member.ReturnsChanged:
+			m.balancer.state.setReturns(x.Agents)
 		case member.ZoneChanged:
 			m.balancer.log.Emit(events.ZoneChanged, events.F("zone", x.Zone), events.F("is_lost", x.IsLost),
 				events.F("subjects", x.Subjects))
@@ -170,9 +172,9 @@
 		before := m.balancer.state.setTargets(changed)
 		m.balancer.updateTargets(before, changed)
 	}
-	if len(changed) > 0 || m.isChanged {
+	if m.isChanged {
 		m.isChanged = false
-		m.balancer.state.setMembers(m.machine.Balancers(), m.machine.ReturnTargets())
+		m.balancer.state.setBalancers(m.machine.Balancers())
 	}
 }
 
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -28,10 +28,10 @@
 	// Incarnation is the newest incarnation known for the agent's address. An agent whose own is lower announces a
 	// higher one, since its clock lags behind that of the VM's former agent.
 	Incarnation uint64 `msgpack:"incarnation"`
-	// Policy is what the tables declare for the agent's pool, or nil when that was told last or there is no such pool.
-	Policy *PoolPolicy `msgpack:"policy,omitempty"`
 	// Peers are agents of the same service, or nil when they are those told last.
 	Peers *PeerList `msgpack:"peers,omitempty"`
+	// Policy is what the tables declare for the agent's pool, or nil when they declare no such pool.
+	Policy *PoolPolicy `msgpack:"policy,omitempty"`
 }
 
 // PeerList holds the control addresses of agents whose targets are ready.
