--- a/internal/balancer/size_test.go
+++ b/internal/balancer/size_test.go
@@ -83,7 +83,7 @@
 			for n := range size {
 				live = append(live, member.Balancer{Control: sizedAddress(n), Zone: fmt.Sprintf("zone-%d", n%9)})
 			}
-			made.state.setMembers(live, nil)
+			made.state.setBalancers(live)
 			for b.Loop() {
 				made.isStoreReader()
 			}
