Keep one copy of the targets outside the routing table

Cause: the balancer's state held a second copy of every target next to that of the state machine, about as large. Change: a changed target names what the view held before, which the routing table needs for its update; the status asks the membership duty. Proof: the replay of changes in TestHistoriesOfFaults and TestChangesLeadFromOneViewToTheNext printed "was shown, {... invalid} is named" while Before was not filled, and passes now.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -56,7 +56,7 @@
 }
 
 func (b *Balancer) status() *control.Status {
-	targets := b.state.view()
+	targets := b.membership.targets(b.group.Context())
 	inForce := b.currentRevision()
 	return &control.Status{
 		Balancer: b.settings.Data, Zone: b.settings.Zone, Revision: inForce.Number, Change: inForce.Change, Targets: targets,
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -24,7 +24,9 @@
 type arrival struct {
 	// event goes to the state machine.
 	event member.Event
-	// session is the connection on which the event arose, or that has ended when event is nil.
+	// query reads the state machine in place of an event.
+	query func(machine *member.Machine)
+	// session is the connection on which the event arose, or that has ended when event and query are nil.
 	session *session
 	// gossip is the message that event was made of, or nil.
 	gossip *control.Gossip
@@ -85,7 +87,7 @@
 	now := time.Now()
 	switch e := a.event.(type) {
 	case nil:
-		m.end(now, a.session)
+		m.takeOther(now, a)
 	case member.Announced:
 		m.agents[e.Target.Agent] = a.session
 		e.IsFirst = m.agentOf[a.session] != e.Target.Agent
@@ -108,6 +110,15 @@
 	}
 }
 
+// takeOther answers a query or forgets a connection that has ended.
+func (m *membership) takeOther(now time.Time, a arrival) {
+	if a.query != nil {
+		a.query(m.machine)
+		return
+	}
+	m.end(now, a.session)
+}
+
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
 	m.colleagues.forget(s)
@@ -140,7 +151,7 @@
 
 // handle gives an event to the state machine and carries out its actions.
 func (m *membership) handle(now time.Time, e member.Event) {
-	var changed []member.Target
+	var changed []member.TargetChanged
 	for _, action := range m.machine.Handle(now, e) {
 		switch x := action.(type) {
 		case member.Send:
@@ -148,7 +159,7 @@
 		case member.Reply:
 			m.reply(x)
 		case member.TargetChanged:
-			changed = append(changed, x.Target)
+			changed = append(changed, x)
 			m.balancer.logTarget(x.Target, x.Reason.String())
 		case member.BalancerChanged:
 			m.isChanged = true
@@ -161,10 +172,9 @@
 		}
 	}
 	if len(changed) > 0 {
-		changed = latestOf(changed)
-		m.colleagues.update(changed)
-		before := m.balancer.state.setTargets(changed)
-		m.balancer.updateTargets(before, changed)
+		removed, added := netChanges(changed)
+		m.colleagues.update(added)
+		m.balancer.updateTargets(removed, added)
 	}
 	if m.isChanged {
 		m.isChanged = false
@@ -172,22 +182,37 @@
 	}
 }
 
-// latestOf keeps the last record of each agent.
-func latestOf(changed []member.Target) []member.Target {
-	if len(changed) == 1 {
-		return changed
-	}
-	last := make(map[netip.AddrPort]int, len(changed))
-	for i, t := range changed {
-		last[t.Agent] = i
+// netChanges returns the records that the first change of each agent replaced and those that its last change left.
+func netChanges(changes []member.TargetChanged) (removed, added []member.Target) {
+	last := make(map[netip.AddrPort]int, len(changes))
+	for i, c := range changes {
+		if _, isLater := last[c.Target.Agent]; !isLater && c.Before.State != 0 {
+			removed = append(removed, c.Before)
+		}
+		last[c.Target.Agent] = i
 	}
-	latest := make([]member.Target, 0, len(last))
-	for i, t := range changed {
-		if last[t.Agent] == i {
-			latest = append(latest, t)
+	for i, c := range changes {
+		if last[c.Target.Agent] == i {
+			added = append(added, c.Target)
 		}
 	}
-	return latest
+	return removed, added
+}
+
+// targets asks the membership duty for the targets in the view. It returns none when ctx ends first.
+func (m *membership) targets(ctx context.Context) []member.Target {
+	var list []member.Target
+	done := make(chan struct{})
+	query := func(machine *member.Machine) { list = machine.Targets() }
+	if !m.arrivals.Put(ctx, arrival{query: query, done: done}) {
+		return nil
+	}
+	select {
+	case <-done:
+		return list
+	case <-ctx.Done():
+		return nil
+	}
 }
 
 func (m *membership) reply(r member.Reply) {
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -12,42 +12,12 @@
 type state struct {
 	mu            sync.Mutex
 	configuration *revision.State
-	targets       map[netip.AddrPort]member.Target
 	balancers     []member.Balancer
 	returns       []netip.AddrPort
 }
 
 func newState() *state {
-	return &state{configuration: revision.NewState(), targets: make(map[netip.AddrPort]member.Target)}
-}
-
-// view returns the known targets.
-func (s *state) view() []member.Target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	targets := make([]member.Target, 0, len(s.targets))
-	for _, t := range s.targets {
-		targets = append(targets, t)
-	}
-	return targets
-}
-
-// setTargets takes the changed targets of the membership. It returns the records that they replace.
-func (s *state) setTargets(changed []member.Target) (before []member.Target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, t := range changed {
-		if known, ok := s.targets[t.Agent]; ok {
-			before = append(before, known)
-		}
-	}
-	for _, t := range changed {
-		s.targets[t.Agent] = t
-		if t.State == member.Gone {
-			delete(s.targets, t.Agent)
-		}
-	}
-	return before
+	return &state{configuration: revision.NewState()}
 }
 
 // setBalancers takes the live balancers.
--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -64,6 +64,8 @@
 // TargetChanged tells that the view of a target has changed. The target carries the state in the view.
 type TargetChanged struct {
 	Target Target
+	// Before is what the view held until now. Its state is 0 when it held nothing.
+	Before Target
 	Reason Reason
 }
 
--- a/internal/member/liveness.go
+++ b/internal/member/liveness.go
@@ -171,6 +171,7 @@
 	if e.record.State == Gone || e.record.State == 0 {
 		m.purgeAll(subject, &e.observers)
 		delete(m.targets, subject)
+		delete(m.replaced, subject)
 		return
 	}
 	buried := e.record.unpack(subject)
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -114,7 +114,9 @@
 	staleZones map[string]struct{}
 	returns    returnSet
 	// isLivenessStale asks for a search of the live balancers.
-	timed           map[id]struct{}
+	timed map[id]struct{}
+	// replaced holds what the view shows of targets whose record has changed since.
+	replaced        map[id]Target
 	isLivenessStale bool
 	// hasVoid asks for the removal of what balancers have said that have since gone or restarted.
 	hasVoid    bool
@@ -143,6 +145,7 @@
 		staleZones: make(map[string]struct{}),
 		returns:    returnSet{agents: make(map[id]struct{})},
 		timed:      make(map[id]struct{}),
+		replaced:   make(map[id]Target),
 		names:      make(map[string]string),
 	}
 	m.mergeBalancer(m.self, 0)
--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -205,3 +205,18 @@
 		}
 	}
 }
+
+// TestChangesLeadFromOneViewToTheNext replays the changes of a view as the routing table does: each change removes what
+// the one before it has left.
+func TestChangesLeadFromOneViewToTheNext(t *testing.T) {
+	w := settled(t, 3, 6)
+	for _, f := range []fault{reuseAddress, pauseAgent, wakeAgent, killAgent, reuseAddress, drainAgent} {
+		w.inject(f, 1, 0, 0)
+		w.run(4 * time.Second)
+	}
+	for _, n := range w.nodes {
+		if len(n.gaps) > 0 {
+			t.Fatalf("node %d: %v", n.index, n.gaps)
+		}
+	}
+}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -92,6 +92,9 @@
 		m.toggleTarget(subject, e.record)
 		m.noteRestart(e, t)
 	}
+	if e.view != 0 && !e.isRenewed {
+		m.replaced[subject] = e.inView(subject)
+	}
 	e.record = pack(t)
 	e.isRenewed = true
 	m.toggleTarget(subject, e.record)
--- a/internal/member/property_test.go
+++ b/internal/member/property_test.go
@@ -90,8 +90,8 @@
 // checkStep checks what must hold at each moment.
 func (w *world) checkStep(t *rapid.T) {
 	for _, n := range w.nodes {
-		if len(n.problems) > 0 {
-			t.Fatalf("%v", n.problems)
+		if len(n.problems)+len(n.gaps) > 0 {
+			t.Fatalf("%v", append(n.problems, n.gaps...))
 		}
 		for _, a := range w.agents {
 			view := n.views[a.target.Agent]
--- a/internal/member/verdict.go
+++ b/internal/member/verdict.go
@@ -138,13 +138,18 @@
 	if state == Failed && e.view != 0 && e.view != Failed {
 		e.fail(now)
 	}
+	before, isReplaced := m.replaced[subject]
+	if !isReplaced && e.view != 0 {
+		before = e.inView(subject)
+	}
+	delete(m.replaced, subject)
 	e.endedAt = 0
 	if state == Failed || state == Gone {
 		e.endedAt = instantOf(now)
 	}
 	e.view = state
 	e.isRenewed = false
-	m.act(TargetChanged{Target: e.inView(subject), Reason: reason})
+	m.act(TargetChanged{Target: e.inView(subject), Before: before, Reason: reason})
 }
 
 // expireTimers evaluates the targets whose view depends on the time.
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -32,6 +32,7 @@
 	readied   map[netip.AddrPort][]time.Time
 	removed   map[netip.AddrPort][]time.Time
 	problems  []string
+	gaps      []string
 }
 
 type agentSim struct {
@@ -216,6 +217,9 @@
 		case Reply:
 			w.reply(x)
 		case TargetChanged:
+			if x.Before != n.views[x.Target.Agent] {
+				n.gaps = append(n.gaps, fmt.Sprintf("%v was shown, %v is named", n.views[x.Target.Agent], x.Before))
+			}
 			n.note(w.now, x.Target)
 		}
 	}
