--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -191,7 +191,9 @@
 	}
 	m.digest.toggle(subject, observationHash(subject, added))
 	if isBalancer {
-		m.isLivenessStale = true
+		// A balancer that is live stays so with one more that sees it, and the other way round.
+		isLive := m.balancers[subject].isLive
+		m.isLivenessStale = m.isLivenessStale || isLive != (o.Sight == Seen)
 	} else {
 		m.changed[subject] = struct{}{}
 	}
