Read an agent's service from the state machine for its policy

Interface point: the balancer's state holds no targets any more, so the policy asks the state machine of the duty that it runs in.

--- a/internal/balancer/configuration_policy.go
+++ b/internal/balancer/configuration_policy.go
@@ -6,17 +6,12 @@
 	"gentianswitch/internal/control"
 )
 
-// policyFor returns the policy that the tables in force declare for the pool of an agent's target, or nil when no pool
-// has the target's service.
-func (b *Balancer) policyFor(agent netip.AddrPort) *control.PoolPolicy {
+// policyFor returns the policy that the tables in force declare for the pool of a service, or nil when no pool has it.
+func (b *Balancer) policyFor(service uint16) *control.PoolPolicy {
 	b.state.mu.Lock()
 	defer b.state.mu.Unlock()
-	target, isKnown := b.state.targets[agent]
-	if !isKnown {
-		return nil
-	}
 	for _, p := range b.state.configuration.Tables().Pools {
-		if p.Service == target.Service {
+		if p.Service == service {
 			return &control.PoolPolicy{
 				Revision: b.state.configuration.ID().Number, ShortReserve: p.ShortReserve, QueueLimit: p.QueueLimit,
 				DefaultDeadline: p.DefaultDeadline,
@@ -28,7 +23,11 @@
 
 // newPolicy returns the policy for an agent when it is of another revision than the one last told on the connection.
 func (m *membership) newPolicy(agent netip.AddrPort, s *session) *control.PoolPolicy {
-	policy := m.balancer.policyFor(agent)
+	target, isKnown := m.machine.Target(agent)
+	if !isKnown {
+		return nil
+	}
+	policy := m.balancer.policyFor(target.Service)
 	if policy == nil || policy.Revision == m.policyTold[s] {
 		return nil
 	}
--- a/internal/balancer/size_test.go
+++ b/internal/balancer/size_test.go
@@ -24,18 +24,21 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 4400)
 }
 
-// BenchmarkTargetRecords prints the memory of the records that the status shows, beside those of the state machine.
+// BenchmarkTargetRecords prints the memory of what a balancer keeps of targets for its agents' relays, beside the state
+// machine of membership and the routing table.
 func BenchmarkTargetRecords(b *testing.B) {
 	for _, size := range []int{1_000, 8_000, 30_000, 120_000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for b.Loop() {
 				before := heapBytes()
-				s := newState()
+				c := newColleagues()
 				for n := range size {
-					s.setTargets([]member.Target{{Agent: sizedAddress(n), Control: sizedAddress(n), Service: 1, Zone: "quito"}})
+					c.update([]member.Target{{
+						Agent: sizedAddress(n), Control: sizedAddress(n), Service: uint16(1 + n%1000), Zone: "quito", State: member.Ready,
+					}})
 				}
 				b.ReportMetric(float64(heapBytes()-before)/float64(size), "B/target")
-				runtime.KeepAlive(s)
+				runtime.KeepAlive(c)
 			}
 		})
 	}
@@ -83,7 +86,7 @@
 			for n := range size {
 				live = append(live, member.Balancer{Control: sizedAddress(n), Zone: fmt.Sprintf("zone-%d", n%9)})
 			}
-			made.state.setMembers(live, nil)
+			made.state.setBalancers(live)
 			for b.Loop() {
 				made.isStoreReader()
 			}
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -248,6 +248,16 @@
 	return list
 }
 
+// Target returns a target of the view, and false when the view has none of the given address.
+func (m *Machine) Target(agent netip.AddrPort) (Target, bool) {
+	subject := idOf(agent)
+	e := m.targets[subject]
+	if e == nil || e.view == 0 {
+		return Target{}, false
+	}
+	return e.inView(subject), true
+}
+
 func (e *targetEntry) inView(subject id) Target {
 	t := e.record.unpack(subject)
 	t.State = e.view
