Keep relay records only for the services of a balancer's own agents

Cause: every balancer held a record of every target for relays, 256 B a target at 120,000 targets (31 MB). Change: a service is taken from the view when the first of its agents asks, kept up to date, and forgotten with the last.

--- a/internal/balancer/colleagues.go
+++ b/internal/balancer/colleagues.go
@@ -29,74 +29,76 @@
 }
 
 // colleagues tells agents which agents of the same service are ready, so that they can relay requests. It belongs to
-// the membership duty.
+// the membership duty and holds only the services of the agents for which this balancer is a home.
 type colleagues struct {
-	services  map[uint16]*serviceAgents
-	serviceOf map[netip.AddrPort]uint16
-	told      map[*session]toldVersion
+	services map[uint16]*serviceAgents
+	told     map[*session]toldVersion
 }
 
 func newColleagues() *colleagues {
-	return &colleagues{
-		services:  make(map[uint16]*serviceAgents),
-		serviceOf: make(map[netip.AddrPort]uint16),
-		told:      make(map[*session]toldVersion),
-	}
+	return &colleagues{services: make(map[uint16]*serviceAgents), told: make(map[*session]toldVersion)}
 }
 
-// update takes changed targets.
-func (c *colleagues) update(changed []member.Target) {
-	for _, t := range changed {
-		c.remove(t.Agent)
-		if t.State == member.Gone {
-			continue
+// update takes the records that have left the view and those that have come in their place.
+func (c *colleagues) update(removed, added []member.Target) {
+	for _, t := range removed {
+		if s := c.services[t.Service]; s != nil {
+			delete(s.controls, t.Agent)
+			s.version++
 		}
-		c.serviceOf[t.Agent] = t.Service
-		if t.State == member.Ready {
-			c.add(t)
+	}
+	for _, t := range added {
+		if s := c.services[t.Service]; s != nil && t.State == member.Ready {
+			s.controls[t.Agent] = t.Control
+			s.version++
 		}
 	}
 }
 
-func (c *colleagues) remove(agent netip.AddrPort) {
-	service, isKnown := c.serviceOf[agent]
-	if !isKnown {
+// forget forgets a connection that has ended, and its service when no other connection is of that.
+func (c *colleagues) forget(s *session) {
+	ended, isTold := c.told[s]
+	if !isTold {
 		return
 	}
-	delete(c.serviceOf, agent)
-	if s := c.services[service]; s != nil {
-		delete(s.controls, agent)
-		s.version++
+	delete(c.told, s)
+	for _, other := range c.told {
+		if other.service == ended.service {
+			return
+		}
 	}
+	delete(c.services, ended.service)
 }
 
-func (c *colleagues) add(t member.Target) {
-	s := c.services[t.Service]
-	if s == nil {
-		s = &serviceAgents{controls: make(map[netip.AddrPort]netip.AddrPort)}
-		c.services[t.Service] = s
+// serviceAgents returns the ready agents of a service. The first time they are taken from the view.
+func (c *colleagues) serviceAgents(service uint16, machine *member.Machine) *serviceAgents {
+	if known := c.services[service]; known != nil {
+		return known
 	}
-	s.controls[t.Agent] = t.Control
-	s.version++
-}
-
-// forget forgets a connection that has ended.
-func (c *colleagues) forget(s *session) {
-	delete(c.told, s)
+	s := &serviceAgents{controls: make(map[netip.AddrPort]netip.AddrPort)}
+	for _, t := range machine.ReadyTargets(service) {
+		s.controls[t.Agent] = t.Control
+	}
+	c.services[service] = s
+	return s
 }
 
 // news returns the colleagues of an agent, or nil when they have not changed since it was told on the connection.
-func (c *colleagues) news(agent netip.AddrPort, s *session) *control.PeerList {
-	service, isKnown := c.serviceOf[agent]
-	if !isKnown || c.services[service] == nil {
+func (c *colleagues) news(agent netip.AddrPort, s *session, machine *member.Machine) *control.PeerList {
+	target, isKnown := machine.Target(agent)
+	if !isKnown {
 		return nil
 	}
-	now := toldVersion{service: service, version: c.services[service].version}
-	if c.told[s] == now {
+	if told, isTold := c.told[s]; isTold && told.service != target.Service {
+		c.forget(s)
+	}
+	agents := c.serviceAgents(target.Service, machine)
+	now := toldVersion{service: target.Service, version: agents.version}
+	if told, isTold := c.told[s]; isTold && told == now {
 		return nil
 	}
 	c.told[s] = now
-	return &control.PeerList{Controls: c.pick(agent, c.services[service])}
+	return &control.PeerList{Controls: c.pick(agent, agents)}
 }
 
 // pick returns the colleagues with the highest rendezvous scores for the agent, so that the agents of a large service
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -149,7 +149,7 @@
 		m.repliedAt = now
 		for agent, s := range m.agents {
 			s.send(control.Message{AnnounceReply: &control.AnnounceReply{
-				Peers: m.colleagues.news(agent, s), Policy: m.newPolicy(agent, s),
+				Peers: m.colleagues.news(agent, s, m.machine), Policy: m.newPolicy(agent, s),
 			}})
 		}
 	}
@@ -179,7 +179,7 @@
 	}
 	if len(changed) > 0 {
 		removed, added := netChanges(changed)
-		m.colleagues.update(added)
+		m.colleagues.update(removed, added)
 		m.balancer.updateTargets(removed, added)
 	}
 	if m.isChanged {
--- a/internal/balancer/size_test.go
+++ b/internal/balancer/size_test.go
@@ -25,15 +25,19 @@
 }
 
 // BenchmarkTargetRecords prints the memory of what a balancer keeps of targets for its agents' relays, beside the state
-// machine of membership and the routing table.
+// machine of membership and the routing table. The balancer has agents of 21 of 1,000 services.
 func BenchmarkTargetRecords(b *testing.B) {
 	for _, size := range []int{1_000, 8_000, 30_000, 120_000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for b.Loop() {
 				before := heapBytes()
 				c := newColleagues()
+				machine := member.New(member.Settings{Self: member.Balancer{Data: sizedAddress(0), State: member.Ready}})
+				for service := range uint16(21) {
+					c.serviceAgents(1+service, machine)
+				}
 				for n := range size {
-					c.update([]member.Target{{
+					c.update(nil, []member.Target{{
 						Agent: sizedAddress(n), Control: sizedAddress(n), Service: uint16(1 + n%1000), Zone: "quito", State: member.Ready,
 					}})
 				}
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -248,6 +248,17 @@
 	return list
 }
 
+// ReadyTargets returns the ready targets of a service.
+func (m *Machine) ReadyTargets(service uint16) []Target {
+	var list []Target
+	for subject, e := range m.targets {
+		if e.view == Ready && e.record.service == service {
+			list = append(list, e.inView(subject))
+		}
+	}
+	return list
+}
+
 // Target returns a target of the view, and false when the view has none of the given address.
 func (m *Machine) Target(agent netip.AddrPort) (Target, bool) {
 	subject := idOf(agent)
