--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -114,7 +114,9 @@
 	staleZones map[string]struct{}
 	returns    returnSet
 	// isLivenessStale asks for a search of the live balancers.
-	timed           map[id]struct{}
+	timed map[id]struct{}
+	// replaced holds what the view shows of targets whose record has changed since.
+	replaced        map[id]Target
 	isLivenessStale bool
 	// hasVoid asks for the removal of what balancers have said that have since gone or restarted.
 	hasVoid    bool
@@ -143,6 +145,7 @@
 		staleZones: make(map[string]struct{}),
 		returns:    returnSet{agents: make(map[id]struct{})},
 		timed:      make(map[id]struct{}),
+		replaced:   make(map[id]Target),
 		names:      make(map[string]string),
 	}
 	m.mergeBalancer(m.self, 0)
@@ -245,6 +248,27 @@
 	return list
 }
 
+// ReadyTargets returns the ready targets of a service.
+func (m *Machine) ReadyTargets(service uint16) []Target {
+	var list []Target
+	for subject, e := range m.targets {
+		if e.view == Ready && e.record.service == service {
+			list = append(list, e.inView(subject))
+		}
+	}
+	return list
+}
+
+// Target returns a target of the view, and false when the view has none of the given address.
+func (m *Machine) Target(agent netip.AddrPort) (Target, bool) {
+	subject := idOf(agent)
+	e := m.targets[subject]
+	if e == nil || e.view == 0 {
+		return Target{}, false
+	}
+	return e.inView(subject), true
+}
+
 func (e *targetEntry) inView(subject id) Target {
 	t := e.record.unpack(subject)
 	t.State = e.view
