Hand a flow on only while the balancers name its receiver

Cause: an agent that starts slowly handed a new flow on to a second candidate that had just begun to drain and refused it, and went on doing so for every further datagram of the handshake, although the balancers named no second candidate any more. Seen in the spec of the drain of two targets: 'arrival-0: unreachable: timeout: no recent network activity'. Change: a remembered hand-on holds only while the datagram's header names the same second candidate.

--- a/integration/flows_test.go
+++ b/integration/flows_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -10,6 +11,7 @@
 
 	"gentianswitch/internal/class"
 	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/standin/callers"
 	"gentianswitch/internal/standin/fabric"
 )
 
@@ -150,6 +152,32 @@
 		}
 	})
 
+	It("are served when new flows open in the very moment in which two of three targets begin to drain", func() {
+		const (
+			count  = 60
+			spread = 30 * time.Millisecond
+		)
+		results := make(chan callers.Result, count)
+		for i := range count {
+			time.AfterFunc(spread*time.Duration(i)/count, func() {
+				results <- call(e, emulator.PortShort, callers.Request{
+					ID: fmt.Sprintf("moment-%d", i), Class: class.Short, Work: time.Millisecond, Body: []byte("notice"),
+				})
+			})
+		}
+		time.Sleep(spread / 3)
+		for _, a := range e.Agents[:2] {
+			Expect(a.Signal(syscall.SIGTERM)).To(Succeed())
+		}
+		var failed []string
+		for range count {
+			if r := <-results; r.Outcome != callers.Done {
+				failed = append(failed, fmt.Sprintf("%s: %s: %v", r.Request, r.Outcome, r.Err))
+			}
+		}
+		Expect(failed).To(BeEmpty())
+	})
+
 	DescribeTable("survive faults of the fabric", func(faults fabric.Faults) {
 		Expect(e.SetFabricFaults(faults)).To(Succeed())
 		open := openFeeds(e, feedCount, feedEvents)
--- a/internal/agent/placement.go
+++ b/internal/agent/placement.go
@@ -116,7 +116,9 @@
 	return flows >= a.settings.Connections
 }
 
-// openFlow accepts the first datagrams of a flow, or hands them on to the second candidate.
+// openFlow accepts the first datagrams of a flow, or hands them on to the second candidate. A hand-on is repeated only
+// while the balancers still name its receiver: one that drains or died answers nothing, and the caller's next datagrams
+// must not follow there.
 func (a *Agent) openFlow(header envelope.Header, payload, id []byte) {
 	if header.Service != a.settings.Service {
 		a.counters.otherService.Inc(1)
@@ -126,7 +128,7 @@
 	flow := xxhash.Sum64(id)
 	to, isKnown := a.placements.get(now, flow)
 	reason := "as before"
-	if !isKnown {
+	if !isKnown || (to.IsValid() && to != header.Second) {
 		to, reason = netip.AddrPort{}, a.handOnReason(now, flow)
 		if reason != "" && header.Kind != envelope.HandOn {
 			to = header.Second
