--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,28 @@
 SKIP_GO := $(if $(KNOWN_GO),-skip '^($(KNOWN_GO))$$')
 SKIP_SPECS := $(if $(KNOWN_SPECS),--ginkgo.skip='$(KNOWN_SPECS)')
 
-.PHONY: build test race lint format docs
+# Time for each fuzz target.
+FUZZTIME ?= 20s
+FUZZ_TARGETS := connid:FuzzDecode packet:FuzzParse envelope:FuzzOpen keys:FuzzParse frame:FuzzRead
+
+# Benchmarks, their output and its JSON.
+BENCHTIME ?= 200ms
+BENCH ?= .
+BENCH_DIR := bin/bench
+BENCH_PACKAGES := ./internal/route ./internal/balancer ./internal/revision ./internal/member
+
+.PHONY: build test race lint format docs fuzz bench
 
 build:
 	go build -o bin/ ./cmd/...
 
+# Runs one deployment through restarts, drains, a change and a failure, and reports what callers saw.
+demo: build
+	bin/gentian-demo --deployment $(DEPLOYMENT) $(DEMO_FLAGS)
+
 test:
 	go test -count=1 $(SKIP_GO) $$(go list ./... | grep -v /integration)
-	go test -count=1 -timeout 20m $(SKIP_GO) ./integration $(SKIP_SPECS)
+	go test -count=1 -timeout 20m $(SKIP_GO) ./integration --ginkgo.seed=1 $(SKIP_SPECS)
 
 # The packages in which several duties meet.
 race:
@@ -25,8 +39,21 @@
 	go vet ./...
 	$(LINT) run ./...
 
+# Prints each figure, ratios against baselines of the same run among them, and writes bin/bench/bench.txt and .json.
+bench:
+	@mkdir -p $(BENCH_DIR)
+	go test -p 1 -run '^$$' -bench '$(BENCH)' -benchmem -benchtime $(BENCHTIME) -timeout 20m $(BENCH_PACKAGES) > $(BENCH_DIR)/bench.txt; \
+	  status=$$?; cat $(BENCH_DIR)/bench.txt; go tool test2json < $(BENCH_DIR)/bench.txt > $(BENCH_DIR)/bench.json; exit $$status
+
+# Each decoder is fuzzed for FUZZTIME, one after the other.
+fuzz:
+	@for target in $(FUZZ_TARGETS); do \
+	  go test ./internal/$${target%%:*} -run '^$$' -fuzz "^$${target##*:}\$$" -fuzztime $(FUZZTIME) -parallel 2 || exit 1; \
+	done
+
 format:
 	gofmt -w cmd internal integration
 
 docs:
 	go test ./internal/events -run TestEventsPageIsCurrent -update-events
+	go test ./internal/metrics -run TestMetricsPageIsCurrent -update-metrics
--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -8,8 +8,10 @@
 	"os"
 
 	"gentianswitch/internal/balancer"
+	"gentianswitch/internal/member"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
+	"gentianswitch/internal/route"
 	"gentianswitch/internal/settings"
 	"gentianswitch/internal/store"
 )
@@ -23,13 +25,17 @@
 func run(args []string) int {
 	var common settings.Common
 	var own balancer.Settings
-	var bindIP string
+	var bindIP, detection, placement string
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	common.Define(fs)
 	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
 	fs.StringVar(&bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
+	settings.AddrPortsVar(fs, &own.Peers, "peers", "control addresses of balancers from which this one learns the others")
+	fs.StringVar(&detection, "detection", member.Conservative.String(),
+		"when a target or a balancer has failed: conservative (none of its observers hears it) or aggressive (one does not)")
+	fs.StringVar(&placement, "placement", route.Slots{}.Name(), "how a target is chosen for a new flow: slots or rendezvous")
 	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
-	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer.yaml", os.Stderr)
+	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer-quito.yaml", os.Stderr)
 	if err != nil {
 		return program.ReportUsage(name, err)
 	}
@@ -40,11 +46,20 @@
 	if err := common.Check(); err != nil {
 		return program.ReportUsage(name, err)
 	}
+	if own.Store == "" {
+		return program.ReportUsage(name, common.Missing("store", "host:port"))
+	}
+	if own.Detection, err = member.DetectionByName(detection); err != nil {
+		return program.ReportUsage(name, err)
+	}
 	if bindIP != "" {
 		if own.BindIP, err = netip.ParseAddr(bindIP); err != nil {
 			return program.ReportUsage(name, err)
 		}
 	}
+	if own.Placement, err = route.StrategyByName(placement); err != nil {
+		return program.ReportUsage(name, err)
+	}
 	return start(&common, own)
 }
 
@@ -58,7 +73,7 @@
 		fmt.Println("settings are valid")
 		return program.ExitOK
 	}
-	stats := metrics.New("gentian_balancer")
+	stats := metrics.New(metrics.Balancer)
 	b, err := balancer.New(own, set, credentials, store.NewHTTP(own.Store), log, stats)
 	if err != nil {
 		return program.ReportUsage(name, err)
--- a/internal/agent/frontend.go
+++ b/internal/agent/frontend.go
@@ -48,10 +48,12 @@
 // openFrontend starts to accept the flows of one class.
 func (a *Agent) openFrontend(c class.Class) (*frontend, error) {
 	conn := newVirtualConn(a.socket.LocalAddr(), a.outbound)
+	reset := resetKey(a.keys.Load().Current())
 	f := &frontend{class: c, agent: a, conn: conn, conns: make(map[*quic.Conn]struct{}), transport: &quic.Transport{
 		Conn:                  conn,
 		ConnectionIDLength:    connid.Size,
 		ConnectionIDGenerator: &idGenerator{agent: a, class: c},
+		StatelessResetKey:     &reset,
 	}}
 	config := &quic.Config{
 		HandshakeIdleTimeout:    handshakeTimeout,
--- /dev/null
+++ b/internal/balancer/colleagues.go
@@ -0,0 +1,124 @@
+package balancer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianswitch/internal/control"
+	"gentianswitch/internal/member"
+)
+
+// maxColleagues is the number of agents of its service that an agent is told of.
+const maxColleagues = 16
+
+// serviceAgents are the agents of one service whose targets are ready.
+type serviceAgents struct {
+	// controls maps the agent's address to its control address.
+	controls map[netip.AddrPort]netip.AddrPort
+	// version rises with each change.
+	version uint64
+}
+
+// toldVersion is what an agent was told last on its connection.
+type toldVersion struct {
+	service uint16
+	version uint64
+}
+
+// colleagues tells agents which agents of the same service are ready, so that they can relay requests. It belongs to
+// the membership duty and holds only the services of the agents for which this balancer is a home.
+type colleagues struct {
+	services map[uint16]*serviceAgents
+	told     map[*session]toldVersion
+}
+
+func newColleagues() *colleagues {
+	return &colleagues{services: make(map[uint16]*serviceAgents), told: make(map[*session]toldVersion)}
+}
+
+// update takes the records that have left the view and those that have come in their place.
+func (c *colleagues) update(removed, added []member.Target) {
+	for _, t := range removed {
+		if s := c.services[t.Service]; s != nil {
+			delete(s.controls, t.Agent)
+			s.version++
+		}
+	}
+	for _, t := range added {
+		if s := c.services[t.Service]; s != nil && t.State == member.Ready {
+			s.controls[t.Agent] = t.Control
+			s.version++
+		}
+	}
+}
+
+// forget forgets a connection that has ended, and its service when no other connection is of that.
+func (c *colleagues) forget(s *session) {
+	ended, isTold := c.told[s]
+	if !isTold {
+		return
+	}
+	delete(c.told, s)
+	for _, other := range c.told {
+		if other.service == ended.service {
+			return
+		}
+	}
+	delete(c.services, ended.service)
+}
+
+// serviceAgents returns the ready agents of a service. The first time they are taken from the view.
+func (c *colleagues) serviceAgents(service uint16, machine *member.Machine) *serviceAgents {
+	if known := c.services[service]; known != nil {
+		return known
+	}
+	s := &serviceAgents{controls: make(map[netip.AddrPort]netip.AddrPort)}
+	for _, t := range machine.ReadyTargets(service) {
+		s.controls[t.Agent] = t.Control
+	}
+	c.services[service] = s
+	return s
+}
+
+// news returns the colleagues of an agent, or nil when they have not changed since it was told on the connection.
+func (c *colleagues) news(agent netip.AddrPort, s *session, machine *member.Machine) *control.PeerList {
+	target, isKnown := machine.Target(agent)
+	if !isKnown {
+		return nil
+	}
+	if told, isTold := c.told[s]; isTold && told.service != target.Service {
+		c.forget(s)
+	}
+	agents := c.serviceAgents(target.Service, machine)
+	now := toldVersion{service: target.Service, version: agents.version}
+	if told, isTold := c.told[s]; isTold && told == now {
+		return nil
+	}
+	c.told[s] = now
+	return &control.PeerList{Controls: c.pick(agent, agents)}
+}
+
+// pick returns the colleagues with the highest rendezvous scores for the agent, so that the agents of a large service
+// are told of different ones and every home of an agent tells the same.
+func (c *colleagues) pick(agent netip.AddrPort, s *serviceAgents) []netip.AddrPort {
+	type scored struct {
+		control netip.AddrPort
+		score   uint64
+	}
+	list := make([]scored, 0, len(s.controls))
+	for other, address := range s.controls {
+		if other != agent {
+			list = append(list, scored{control: address, score: xxhash.Sum64String(agent.String() + other.String())})
+		}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	list = list[:min(len(list), maxColleagues)]
+	controls := make([]netip.AddrPort, len(list))
+	for i, l := range list {
+		controls[i] = l.control
+	}
+	return controls
+}
--- a/internal/balancer/path.go
+++ b/internal/balancer/path.go
@@ -38,14 +38,14 @@
 	b.free.TryPut(done)
 }
 
-// receive reads batches from a socket into a ring. A full ring drops the batch.
+// receive reads batches from a socket into a ring until ctx ends. A full ring drops the batch.
 func (b *Balancer) receive(ctx context.Context, from *listener, to *ring.Ring[*batch]) error {
-	stop := context.AfterFunc(ctx, from.close)
+	stop := context.AfterFunc(ctx, from.stopReading)
 	defer stop()
 	for {
 		received := b.takeBatch()
 		if err := from.read(received); err != nil {
-			if ctx.Err() != nil || from.isClosed() {
+			if ctx.Err() != nil || from.isStopped() {
 				return nil
 			}
 			continue
@@ -64,25 +64,37 @@
 		if !ok {
 			return nil
 		}
-		failed := ready.source.write(ctx, ready)
-		b.counters.sendFailed.Inc(int64(failed))
-		b.giveBack(ready)
+		b.send(ready)
 	}
 }
 
+func (b *Balancer) send(ready *batch) {
+	failed := ready.source.write(ready)
+	b.counters.sendFailed.Inc(int64(failed))
+	b.giveBack(ready)
+}
+
 func (b *Balancer) forwardAll(ctx context.Context) error {
 	for {
 		received, ok := b.inbound.Get(ctx)
 		if !ok {
 			return nil
 		}
-		out := b.takeBatch()
-		out.source = b.fabric
-		for i := range received.count {
-			b.forward(received.source, received.datagram(i), received.sender(i), out)
-		}
-		b.giveBack(received)
-		b.put(b.toAgents, out)
+		b.forwardBatch(received)
+	}
+}
+
+func (b *Balancer) forwardBatch(received *batch) {
+	out := b.takeBatch()
+	b.forwardInto(received, out)
+	b.giveBack(received)
+	b.put(b.toAgents, out)
+}
+
+func (b *Balancer) forwardInto(received, out *batch) {
+	out.source = b.fabric
+	for i := range received.count {
+		b.forward(received.source.receiverOf(received, i), received.datagram(i), received.sender(i), out)
 	}
 }
 
@@ -98,12 +110,11 @@
 	}
 }
 
-func (b *Balancer) forward(from *listener, datagram []byte, caller netip.AddrPort, out *batch) {
+func (b *Balancer) forward(address netip.AddrPort, datagram []byte, caller netip.AddrPort, out *batch) {
 	if len(datagram) > maxDatagram {
 		b.counters.oversized.Inc(1)
 		return
 	}
-	address := b.listeners.address(from)
 	decision := b.table.Load().Decide(address, datagram)
 	b.counters.verdict(decision.Verdict)
 	b.logDecision(decision, caller)
@@ -116,7 +127,7 @@
 		Service:  decision.Service,
 		Caller:   caller,
 		Address:  address,
-		Balancer: b.settings.Data,
+		Balancer: b.returnAddress(),
 		Second:   decision.Second,
 	}
 	out.add(envelope.Seal(out.next(), b.keys.Load(), header, datagram), decision.Agent)
@@ -131,7 +142,7 @@
 		}
 		b.log.Emit(events.FlowPlaced, events.F("route", d.Route.Name), events.F("pool", d.Route.Pool),
 			events.F("caller", caller.String()), events.F("candidates", candidates),
-			events.F("choice", d.Agent.String()), events.F("reason", "highest rendezvous score"))
+			events.F("choice", d.Agent.String()), events.F("reason", b.table.Load().Strategy().Name()))
 	case d.Verdict == route.DropNoTarget:
 		b.log.Emit(events.FlowRefused, events.F("route", d.Route.Name), events.F("pool", d.Route.Pool),
 			events.F("caller", caller.String()), events.F("reason", "no ready target"))
@@ -145,7 +156,6 @@
 			return nil
 		}
 		b.returnBatch(received)
-		b.giveBack(received)
 	}
 }
 
@@ -170,6 +180,13 @@
 		}
 		out.source = through
 		out.add(append(out.next(), payload...), header.Caller)
+		if through.isWildcard {
+			out.setLocal(header.Address.Addr())
+		}
+	}
+	if b.isLeaving.Load() {
+		b.answerLeave(received)
 	}
+	b.giveBack(received)
 	b.put(b.toCallers, out)
 }
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -3,39 +3,35 @@
 package control
 
 import (
-	"net/netip"
-
 	"gentianswitch/internal/member"
 )
 
 // Message is one frame of a control connection. Exactly one field is set.
 type Message struct {
-	Announce      *Announce      `msgpack:"announce,omitempty"`
-	StatusRequest *StatusRequest `msgpack:"status_request,omitempty"`
-	Status        *Status        `msgpack:"status,omitempty"`
-	DrainRequest  *DrainRequest  `msgpack:"drain_request,omitempty"`
-	DrainStatus   *DrainStatus   `msgpack:"drain_status,omitempty"`
-	RelayOffer    *RelayOffer    `msgpack:"relay_offer,omitempty"`
-	RelayDecision *RelayDecision `msgpack:"relay_decision,omitempty"`
-	RelayRequest  *RelayRequest  `msgpack:"relay_request,omitempty"`
-	RelayHead     *RelayHead     `msgpack:"relay_head,omitempty"`
-	RelayChunk    *RelayChunk    `msgpack:"relay_chunk,omitempty"`
+	Announce        *Announce        `msgpack:"announce,omitempty"`
+	AnnounceReply   *AnnounceReply   `msgpack:"announce_reply,omitempty"`
+	Hello           *Hello           `msgpack:"hello,omitempty"`
+	Gossip          *Gossip          `msgpack:"gossip,omitempty"`
+	RevisionRequest *RevisionRequest `msgpack:"revision_request,omitempty"`
+	RevisionReply   *RevisionReply   `msgpack:"revision_reply,omitempty"`
+	RevisionOffer   *RevisionOffer   `msgpack:"revision_offer,omitempty"`
+	RevisionAck     *RevisionAck     `msgpack:"revision_ack,omitempty"`
+	StatusRequest   *StatusRequest   `msgpack:"status_request,omitempty"`
+	Status          *Status          `msgpack:"status,omitempty"`
+	DrainRequest    *DrainRequest    `msgpack:"drain_request,omitempty"`
+	DrainStatus     *DrainStatus     `msgpack:"drain_status,omitempty"`
+	RelayOffer      *RelayOffer      `msgpack:"relay_offer,omitempty"`
+	RelayDecision   *RelayDecision   `msgpack:"relay_decision,omitempty"`
+	RelayRequest    *RelayRequest    `msgpack:"relay_request,omitempty"`
+	RelayHead       *RelayHead       `msgpack:"relay_head,omitempty"`
+	RelayChunk      *RelayChunk      `msgpack:"relay_chunk,omitempty"`
 }
 
 // Announce is what an agent tells its home balancers, at each heartbeat and at each change.
 type Announce struct {
 	Target member.Target `msgpack:"target"`
-}
-
-// StatusRequest asks a balancer for its Status.
-type StatusRequest struct{}
-
-// Status is a balancer's view, for operators.
-type Status struct {
-	Balancer netip.AddrPort  `msgpack:"balancer" json:"balancer"`
-	Zone     string          `msgpack:"zone" json:"zone"`
-	Revision uint64          `msgpack:"revision" json:"revision"`
-	Targets  []member.Target `msgpack:"targets" json:"targets"`
+	// IsLeaving tells that the agent moves to another home balancer.
+	IsLeaving bool `msgpack:"is_leaving,omitempty"`
 }
 
 // DrainAction is what an operator asks of an agent.
@@ -49,6 +45,8 @@
 	DrainUndo DrainAction = 2
 	// DrainForce cuts the work in progress and ends the agent.
 	DrainForce DrainAction = 3
+	// DrainQuery asks for the DrainStatus and changes nothing.
+	DrainQuery DrainAction = 4
 )
 
 // DrainRequest asks an agent to change its lifecycle. The answer is a DrainStatus.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,10 +48,14 @@
 	Balancers []*Process
 	Agents    []*Process
 	Targets   []*Process
-	bin       string
-	block     string
-	lock      net.Listener
-	seed      uint64
+	// spent are balancers that the fabric no longer sprays over.
+	spent []*Process
+	bin   string
+	block string
+	lock  net.Listener
+	seed  uint64
+	// operations counts the runs of gentianctl.
+	operations atomic.Int64
 }
 
 // New prepares a deployment whose programs are in the directory bin and whose files go to dir. Nothing runs yet.
@@ -66,6 +70,9 @@
 	if err := os.WriteFile(e.TablesFile(), []byte(deployment.Tables(e.ip(hostPlatform))), fileMode); err != nil {
 		return nil, eris.Wrap(err, "write tables")
 	}
+	if err := e.writeOperatorFile(); err != nil {
+		return nil, err
+	}
 	e.Store = e.process("store", e.ip(hostPlatform), "gentian-standin", "store", "--listen", e.StoreAddress())
 	e.Fabric = e.process("fabric", e.ip(hostPlatform), "gentian-standin", e.fabricArgs()...)
 	for i := range deployment.Balancers {
@@ -74,7 +81,9 @@
 	host := 0
 	for _, p := range deployment.Pools {
 		for range p.Hosts {
-			e.addHost(host, p)
+			target, agent := e.host(host, p)
+			e.Targets = append(e.Targets, target)
+			e.Agents = append(e.Agents, agent)
 			host++
 		}
 	}
@@ -110,7 +119,8 @@
 }
 
 func (e *Emulator) fabricArgs() []string {
-	var addresses, balancers []string
+	var balancers []string
+	addresses := []string{e.Address(PortSpare)}
 	for _, r := range e.Deployment.Routes {
 		addresses = append(addresses, e.Address(r.Port))
 	}
@@ -139,19 +149,20 @@
 func (e *Emulator) balancer(i int) *Process {
 	ip := e.ip(hostFirstBalancer + i)
 	args := append(e.commonArgs(ip, e.zone(i)), "--store", e.StoreAddress(), "--bind-ip", ip,
-		"--agent-networks", e.block+".0/24")
+		"--agent-networks", e.block+".0/24", "--peers", strings.Join(e.ControlAddresses(), ","))
 	return e.process(fmt.Sprintf("balancer-%d", i), ip, "gentian-balancer", args...)
 }
 
-func (e *Emulator) addHost(i int, pool Pool) {
+// host returns the target and the agent of VM i.
+func (e *Emulator) host(i int, pool Pool) (target, agent *Process) {
 	ip := e.ip(hostFirstTarget + i)
-	target := fmt.Sprintf("%s:%d", ip, portTarget)
-	e.Targets = append(e.Targets, e.process(fmt.Sprintf("target-%d", i), ip, "gentian-standin",
-		"target", "--listen", target, "--service", pool.Name, "--slots", fmt.Sprint(pool.Slots)))
-	args := append(e.commonArgs(ip, e.zone(i)), "--target", target, "--service", fmt.Sprint(pool.Service),
+	address := e.targetAddress(i)
+	target = e.process(fmt.Sprintf("target-%d", i), ip, "gentian-standin",
+		"target", "--listen", address, "--service", pool.Name, "--slots", fmt.Sprint(pool.Slots))
+	args := append(e.commonArgs(ip, e.zone(i)), "--target", address, "--service", fmt.Sprint(pool.Service),
 		"--slots", fmt.Sprint(pool.Slots), "--balancers", strings.Join(e.ControlAddresses(), ","))
 	args = append(args, e.Deployment.AgentArgs...)
-	e.Agents = append(e.Agents, e.process(fmt.Sprintf("agent-%d", i), ip, "gentian-agent", args...))
+	return target, e.process(fmt.Sprintf("agent-%d", i), ip, "gentian-agent", args...)
 }
 
 // ControlAddresses returns the control addresses of the balancers.
@@ -187,6 +198,7 @@
 func (e *Emulator) All() []*Process {
 	all := []*Process{e.Store, e.Fabric}
 	all = append(all, e.Balancers...)
+	all = append(all, e.spent...)
 	all = append(all, e.Targets...)
 	return append(all, e.Agents...)
 }
@@ -204,68 +216,7 @@
 	if err := e.Control("apply", "--store", e.StoreAddress(), "--file", e.TablesFile()); err != nil {
 		return err
 	}
-	for _, b := range e.Balancers {
-		if err := e.AwaitBalancer(b); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// AwaitBalancer waits until a balancer has opened its listeners and knows every target.
-func (e *Emulator) AwaitBalancer(b *Process) error {
-	return await(b.Name, func() bool {
-		log, err := os.ReadFile(b.LogFile())
-		if err != nil {
-			return false
-		}
-		text := string(log)
-		return strings.Count(text, `"msg":"listener opened"`) >= len(e.Deployment.Routes)*b.runs &&
-			strings.Count(text, `"state":"ready"`) >= len(e.Agents)*b.runs
-	})
-}
-
-// Control runs gentianctl with the given arguments and returns its output in the error when it fails.
-func (e *Emulator) Control(args ...string) error {
-	p := e.process("gentianctl", "", "gentianctl", args...)
-	if err := p.Start(); err != nil {
-		return err
-	}
-	if err := p.Wait(readyTimeout); err != nil {
-		return err
-	}
-	if p.ExitCode() != 0 {
-		output, _ := os.ReadFile(p.LogFile())
-		return eris.Errorf("gentianctl %s: exit code %d: %s", args[0], p.ExitCode(), output)
-	}
-	return nil
-}
-
-// SetFaults replaces the faults of a stand-in.
-func SetFaults(url, faults string) error {
-	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(faults))
-	if err != nil {
-		return eris.Wrap(err, "set faults")
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return eris.Wrap(err, "set faults")
-	}
-	_ = answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return eris.Errorf("set faults: status %d", answer.StatusCode)
-	}
-	return nil
-}
-
-// FabricFaultsURL returns the URL of the fabric's faults.
-func (e *Emulator) FabricFaultsURL() string {
-	return fmt.Sprintf("http://%s:%d/faults", e.ip(hostPlatform), portFaults)
-}
-
-// StoreFaultsURL returns the URL of the store's faults.
-func (e *Emulator) StoreFaultsURL() string {
-	return "http://" + e.StoreAddress() + "/faults"
+	return e.AwaitBalancers()
 }
 
 // TargetURL returns the base URL of the target on VM i.
@@ -282,22 +233,3 @@
 	}
 	_ = e.lock.Close()
 }
-
-func isListening(address string) bool {
-	conn, err := net.Dial("tcp4", address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
-// await polls a condition until it holds.
-func await(what string, isReady func() bool) error {
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyInterval) {
-		if isReady() {
-			return nil
-		}
-	}
-	return eris.Errorf("%s is not ready after %s", what, readyTimeout)
-}
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -12,6 +12,9 @@
 	longIDOffset   = flagsSize + versionSize
 	maxConnIDSize  = 20
 	minInitialSize = 1200
+	// minChosenIDSize is the shortest destination ID that a caller may choose (RFC 9000, section 7.2). A shorter one
+	// would also give the flows of many callers one hash.
+	minChosenIDSize = 8
 )
 
 // Bits of the first byte.
@@ -32,6 +35,8 @@
 	DestinationID []byte
 	// OpensFlow is true for packets whose connection ID the caller may have chosen: Initial and 0-RTT.
 	OpensFlow bool
+	// IsShort is true for a short header, which packets of an established flow have.
+	IsShort bool
 }
 
 // Parse reads the header of the first packet of a datagram. The destination ID of a short header is taken to be
@@ -47,7 +52,7 @@
 	if flags&fixedBit == 0 {
 		return Header{}, ErrMalformed
 	}
-	return Header{DestinationID: datagram[shortIDOffset : shortIDOffset+shortIDSize]}, nil
+	return Header{DestinationID: datagram[shortIDOffset : shortIDOffset+shortIDSize], IsShort: true}, nil
 }
 
 func parseLong(datagram []byte) (Header, error) {
@@ -61,7 +66,10 @@
 	}
 	kind := datagram[0] & typeMask
 	opens := kind == typeInitial || kind == typeZeroRTT
-	if opens && len(datagram) < minInitialSize && kind == typeInitial {
+	if opens && size < minChosenIDSize {
+		return Header{}, ErrMalformed
+	}
+	if kind == typeInitial && len(datagram) < minInitialSize {
 		return Header{}, ErrMalformed
 	}
 	return Header{DestinationID: datagram[start : start+size], OpensFlow: opens}, nil
--- a/internal/standin/callers/caller.go
+++ b/internal/standin/callers/caller.go
@@ -77,21 +77,35 @@
 
 // New returns a caller that trusts the authority in the PEM file and expects answers of the named service.
 func New(authorityFile, service string) (*Caller, error) {
-	pem, err := os.ReadFile(authorityFile)
+	authority, err := LoadAuthority(authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return NewTrusting(authority, service)
+}
+
+// LoadAuthority reads the authority that callers trust from a PEM file.
+func LoadAuthority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
 	if err != nil {
 		return nil, eris.Wrap(err, "load authority")
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, eris.Errorf("%s holds no certificate", authorityFile)
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate", file)
 	}
+	return authority, nil
+}
+
+// NewTrusting returns a caller that trusts a loaded authority and expects answers of the named service.
+func NewTrusting(authority *x509.CertPool, service string) (*Caller, error) {
 	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, eris.Wrap(err, "open caller socket")
 	}
 	c := &Caller{quic: &quic.Transport{Conn: socket}, socket: socket, expect: service}
 	c.transport = &http3.Transport{
-		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, ServerName: control.ServerName},
+		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: authority, ServerName: control.ServerName},
 		QUICConfig: &quic.Config{
 			HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive,
 		},
@@ -108,6 +122,12 @@
 	return c.quic.DialEarly(ctx, to, tlsConfig, config)
 }
 
+// ListenOnly turns keep-alives off, so that a caller with an open feed sends nothing of its own accord. It has no
+// effect on connections that are already open.
+func (c *Caller) ListenOnly() {
+	c.transport.QUICConfig.KeepAlivePeriod = 0
+}
+
 // Close ends the caller's connections.
 func (c *Caller) Close() {
 	_ = c.transport.Close()
@@ -128,6 +148,8 @@
 	// Events and Interval describe a feed.
 	Events   int
 	Interval time.Duration
+	// OnEvent is called with the number of events received, after each event of a feed, when it is not nil.
+	OnEvent func(events int)
 	// IdempotencyKey is sent when it is not empty.
 	IdempotencyKey string
 	// Method replaces the usual method of the class when it is not empty.
@@ -160,7 +182,7 @@
 		return refusal(answer)
 	}
 	if r.Class == class.Feed {
-		return c.readFeed(answer.Body, r.Events)
+		return c.readFeed(answer.Body, r)
 	}
 	return c.readAnswer(answer.Body, r)
 }
@@ -196,6 +218,12 @@
 	return request, nil
 }
 
+func (r Request) notify(events int) {
+	if r.OnEvent != nil {
+		r.OnEvent(events)
+	}
+}
+
 func refusal(answer *http.Response) Result {
 	result := Result{Status: answer.StatusCode, Outcome: Unknown}
 	if answer.Header.Get(agent.HeaderOutcome) == agent.OutcomeNotRun {
@@ -208,7 +236,7 @@
 }
 
 // readFeed checks that the events are those of the service, numbered without a gap.
-func (c *Caller) readFeed(body io.Reader, events int) Result {
+func (c *Caller) readFeed(body io.Reader, r Request) Result {
 	result := Result{Status: http.StatusOK}
 	lines := bufio.NewScanner(body)
 	for lines.Scan() {
@@ -223,11 +251,12 @@
 				return result
 			}
 			result.Events++
+			r.notify(result.Events)
 		}
 	}
 	result.Err = lines.Err()
 	result.Outcome = Cut
-	if result.Err == nil && result.Events == events {
+	if result.Err == nil && result.Events == r.Events {
 		result.Outcome = Done
 	}
 	return result
