Prove the relay to a peer agent; accept a reset that overtakes the head

The reset of the stream may reach the caller before the head of the answer; the caller then reports unreachable in place of cut. Both are a reset stream. Change: the spec takes either outcome and now asks for H3_INTERNAL_ERROR, which no answer that looks complete carries. The relay has a spec of its own.

--- a/integration/requests_test.go
+++ b/integration/requests_test.go
@@ -170,8 +170,9 @@
 		e := start(onePool(1, 2))
 		setTarget(e, target.Faults{CutBody: true})
 		r := newClient(e).do(short("a", 0))
-		Expect(r.Outcome).To(Equal(callers.Cut), "%+v", r)
-		Expect(r.Err).To(MatchError(ContainSubstring("H3")), "the stream must be reset, not ended")
+		// The reset may overtake the head of the answer.
+		Expect(r.Outcome).To(BeElementOf(callers.Cut, callers.Unreachable), "%+v", r)
+		Expect(r.Err).To(MatchError(ContainSubstring("H3_INTERNAL_ERROR")), "the stream must be reset, not ended")
 	})
 
 	It("is the answer to the request itself when answers are crossed", func() {
@@ -274,6 +275,20 @@
 	})
 })
 
+var _ = Describe("A request that finds every slot taken", func() {
+	It("is relayed to a peer agent with room, before any byte reached a target", func() {
+		e := start(onePool(2, 1))
+		c := newClient(e)
+		Eventually(func() int {
+			done := []<-chan callers.Result{c.begin(short("one", time.Second)), c.begin(short("two", time.Second))}
+			for _, d := range done {
+				Expect((<-d).Outcome).To(Equal(callers.Done))
+			}
+			return countLog(e.Agents[0], "request relayed") + countLog(e.Agents[1], "request relayed")
+		}, openLimitRequests).Should(BeNumerically(">", 0))
+	})
+})
+
 var _ = Describe("A request beyond a bound", func() {
 	It("is refused with 413 when its body is too large, and is not run", func() {
 		e := start(onePool(1, 2, "--body-limit", "1000"))
