--- a/integration/requests_test.go
+++ b/integration/requests_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -77,7 +78,13 @@
 // run returns what the first target says of its runs of a request.
 func run(e *emulator.Emulator, id string) target.Run {
 	GinkgoHelper()
-	answer, err := http.Get(e.TargetURL(0) + target.PathRuns)
+	return runAt(e, 0, id)
+}
+
+// runAt returns what target i says of its runs of a request.
+func runAt(e *emulator.Emulator, i int, id string) target.Run {
+	GinkgoHelper()
+	answer, err := http.Get(e.TargetURL(i) + target.PathRuns)
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = answer.Body.Close() }()
 	var list []target.Run
@@ -275,6 +282,18 @@
 	})
 })
 
+var _ = Describe("An idempotency key", func() {
+	It("runs once when its caller repeats it on another flow and meets another agent", func() {
+		e := start(onePool(2, 2))
+		request := short("notice", 0)
+		request.IdempotencyKey = uuid.Must(uuid.NewV7()).String()
+		for i := range e.Agents {
+			clientAt(e, i).do(request)
+		}
+		Expect(runAt(e, 0, "notice").Count + runAt(e, 1, "notice").Count).To(Equal(1))
+	})
+})
+
 var _ = Describe("A request that finds every slot taken", func() {
 	It("is relayed to a peer agent with room, before any byte reached a target", func() {
 		e := start(onePool(2, 1))
