--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -95,3 +95,22 @@
 		}
 	})
 }
+
+// BenchmarkAnnounce prints the bytes of an announcement's frame and the time to write and read it.
+func BenchmarkAnnounce(b *testing.B) {
+	value := sample()
+	value.Announce.Target.Control = netip.MustParseAddrPort("10.0.0.1:4401")
+	value.Announce.Target.Incarnation, value.Announce.Target.Sequence = 1<<50, 3
+	var out bytes.Buffer
+	var read control.Message
+	for b.Loop() {
+		out.Reset()
+		if err := frame.Write(&out, value); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(out.Len()), "B")
+		if err := frame.Read(&out, &read); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
