--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -44,6 +44,8 @@
 	peers    *peers
 	// colleagues tells agents of others of the same service.
 	colleagues *colleagues
+	// policyTold is the revision of the policy that each agent was told last.
+	policyTold map[*session]uint64
 	// repliedAt is when the agents were last told that this balancer lives.
 	repliedAt time.Time
 	isChanged bool
@@ -60,6 +62,7 @@
 		arrivals:   ring.New[arrival](arrivalCapacity),
 		agents:     make(map[netip.AddrPort]*session),
 		agentOf:    make(map[*session]netip.AddrPort),
+		policyTold: make(map[*session]uint64),
 		peers:      newPeers(b, self),
 		colleagues: newColleagues(),
 	}
@@ -111,6 +114,7 @@
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
 	m.colleagues.forget(s)
+	delete(m.policyTold, s)
 	if agent, ok := m.agentOf[s]; ok {
 		delete(m.agentOf, s)
 		if m.agents[agent] == s {
@@ -133,7 +137,9 @@
 	if now.Sub(m.repliedAt) >= agentReplyInterval {
 		m.repliedAt = now
 		for agent, s := range m.agents {
-			s.send(control.Message{AnnounceReply: &control.AnnounceReply{Peers: m.colleagues.news(agent, s)}})
+			s.send(control.Message{AnnounceReply: &control.AnnounceReply{
+				Peers: m.colleagues.news(agent, s), Policy: m.newPolicy(agent, s),
+			}})
 		}
 	}
 }
@@ -153,6 +159,8 @@
 		case member.BalancerChanged:
 			m.isChanged = true
 			m.balancer.logBalancer(x)
+		case member.ReturnsChanged:
+			m.balancer.state.setReturns(x.Agents)
 		case member.ZoneChanged:
 			m.balancer.log.Emit(events.ZoneChanged, events.F("zone", x.Zone), events.F("is_lost", x.IsLost),
 				events.F("subjects", x.Subjects))
@@ -164,9 +172,9 @@
 		before := m.balancer.state.setTargets(changed)
 		m.balancer.updateTargets(before, changed)
 	}
-	if len(changed) > 0 || m.isChanged {
+	if m.isChanged {
 		m.isChanged = false
-		m.balancer.state.setMembers(m.machine.Balancers(), m.machine.ReturnTargets())
+		m.balancer.state.setBalancers(m.machine.Balancers())
 	}
 }
 
@@ -191,7 +199,7 @@
 func (m *membership) reply(r member.Reply) {
 	if s := m.agents[r.Agent]; s != nil {
 		s.send(control.Message{AnnounceReply: &control.AnnounceReply{
-			Homes: r.Homes, Spares: r.Spares, Incarnation: r.Incarnation,
+			Homes: r.Homes, Spares: r.Spares, Incarnation: r.Incarnation, Policy: m.newPolicy(r.Agent, s),
 		}})
 	}
 }
