--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 
 # Time for each fuzz target.
 FUZZTIME ?= 20s
-FUZZ_TARGETS := connid:FuzzDecode packet:FuzzParse envelope:FuzzOpen keys:FuzzParse frame:FuzzRead
+FUZZ_TARGETS := connid:FuzzDecode packet:FuzzParse envelope:FuzzOpen keys:FuzzParse frame:FuzzRead \
+  tables:FuzzParse revision:FuzzDecodeHead revision:FuzzApply
 
 # Benchmarks, their output and its JSON.
 BENCHTIME ?= 200ms
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,53 @@
+package duty_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"gentianswitch/internal/duty"
+)
+
+func wait(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func TestAnErrorEndsEveryDutyAndNamesItsOwn(t *testing.T) {
+	g := duty.NewGroup(context.Background())
+	g.Go("wait", wait)
+	g.Go("receive", func(context.Context) error { return errors.New("socket is gone") })
+	if err := g.Wait(); err == nil || !strings.Contains(err.Error(), "duty receive") {
+		t.Errorf("got %v, expected the error of duty receive", err)
+	}
+}
+
+func TestAStopIsNoError(t *testing.T) {
+	for name, stop := range map[string]func(*duty.Group, context.CancelFunc){
+		"group":   func(g *duty.Group, _ context.CancelFunc) { g.Stop() },
+		"context": func(_ *duty.Group, cancel context.CancelFunc) { cancel() },
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		g := duty.NewGroup(ctx)
+		g.Go("wait", wait)
+		g.Go("fail late", func(ctx context.Context) error { <-ctx.Done(); return errors.New("closed") })
+		stop(g, cancel)
+		if err := g.Wait(); err != nil {
+			t.Errorf("%s: got %v", name, err)
+		}
+		cancel()
+	}
+}
+
+// Duties that are started from other duties run too, also beside a hundred that wait.
+func TestDutiesDoNotWaitForEachOther(t *testing.T) {
+	g := duty.NewGroup(context.Background())
+	for range 100 {
+		g.Go("wait", wait)
+	}
+	g.Go("last", func(context.Context) error { g.Stop(); return nil })
+	if err := g.Wait(); err != nil {
+		t.Errorf("got %v", err)
+	}
+}
