Run a keyed request at most once in a pool

Cause: a caller that repeated its idempotency key on another flow met another agent, which ran it again: the spec counted 2 runs where 1 was expected. Ruled out: replicas by the present view alone (two changes of the view leave quorums that do not meet), and a young replica's word that a key is new. Change: package dedupe (claims at three replicas, two grants, stored answers), its messages between agents, the recorder of answers. Failed first: the spec above; TestAKeyRunsAtMostOnce with one grant (after 89 histories) and with young replicas that vouch (after 8). The specs that used opaque keys now use UUIDv7: a young pool answers an opaque key unknown without running it, which has a spec of its own. Not covered: pools of more than 16 agents, counted by uncovered_keys.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -107,6 +107,7 @@
 	admission            *admission
 	policy               policy
 	budget               *retry.Budget
+	idempotency          *idempotency
 	health               *healthMonitor
 	peers                *relayPool
 	known                knownPeers
@@ -141,6 +142,7 @@
 		conns:       make(map[class.Class]*virtualConn),
 		admission:   admitter,
 		budget:      retry.NewBudget(retryRatio, retryLimit),
+		idempotency: newIdempotency(settings.Control, incarnation),
 		health:      newHealthMonitor(now, log),
 		peers:       newRelayPool(credentials),
 		progress:    newProgress(),
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"gentianswitch/internal/control"
+	"gentianswitch/internal/dedupe"
 )
 
 // serveControlAll accepts control connections of operators and peer agents.
@@ -38,6 +39,12 @@
 		return conn.Send(control.Message{DrainStatus: a.drainStatus()})
 	case m.RelayOffer != nil:
 		return a.serveOffer(ctx, conn, m.RelayOffer)
+	case m.Claim != nil:
+		reply := a.idempotency.claim(*m.Claim)
+		return conn.Send(control.Message{ClaimReply: &reply})
+	case m.Settle != nil:
+		a.idempotency.settle(*m.Settle)
+		return conn.Send(control.Message{ClaimReply: &dedupe.Reply{State: m.Settle.State}})
 	default:
 		return eris.Errorf("unexpected message from %s", conn.Peer())
 	}
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -37,20 +37,23 @@
 
 // requestCounters are the metrics of the requests.
 type requestCounters struct {
-	scope       tally.Scope
-	retries     tally.Counter
-	relayed     tally.Counter
-	cutFeeds    tally.Counter
-	cutRequests tally.Counter
+	scope   tally.Scope
+	retries tally.Counter
+	relayed tally.Counter
+	// uncoveredKeys counts requests with an idempotency key in a pool too large to claim keys in.
+	uncoveredKeys tally.Counter
+	cutFeeds      tally.Counter
+	cutRequests   tally.Counter
 }
 
 func newRequestCounters(scope tally.Scope) requestCounters {
 	return requestCounters{
-		scope:       scope,
-		retries:     scope.Counter("retries"),
-		relayed:     scope.Counter("relayed"),
-		cutFeeds:    scope.Counter("cut_feeds"),
-		cutRequests: scope.Counter("cut_requests"),
+		scope:         scope,
+		retries:       scope.Counter("retries"),
+		relayed:       scope.Counter("relayed"),
+		uncoveredKeys: scope.Counter("uncovered_keys"),
+		cutFeeds:      scope.Counter("cut_feeds"),
+		cutRequests:   scope.Counter("cut_requests"),
 	}
 }
 
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -30,6 +30,7 @@
 // Errors of a request that is refused before admission.
 var (
 	errDeadline = eris.New(HeaderDeadline + " is not a number of milliseconds above 0")
+	errKeySize  = eris.New(headerKey + " is longer than 128 bytes")
 	errBodySize = eris.New("the body is larger than the class allows")
 )
 
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -19,6 +19,7 @@
 
 // takePeers tells the admission which peers came and went.
 func (a *Agent) takePeers(controls []netip.AddrPort) {
+	a.idempotency.setPeers(controls)
 	a.known.mu.Lock()
 	defer a.known.mu.Unlock()
 	for _, gone := range a.known.controls {
--- /dev/null
+++ b/internal/agent/recorder.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"net/http"
+
+	"gentianswitch/internal/dedupe"
+)
+
+// recorder keeps a copy of an answer that is small enough to be stored.
+type recorder struct {
+	http.ResponseWriter
+	status int
+	header []dedupe.Header
+	body   []byte
+	// isTooLarge is true once the body has passed dedupe.MaxAnswer.
+	isTooLarge bool
+}
+
+// Unwrap lets http.ResponseController reach the writer underneath.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) {
+	if r.status == 0 {
+		r.status = status
+		for name, values := range r.Header() {
+			for _, value := range values {
+				r.header = append(r.header, dedupe.Header{Name: name, Value: value})
+			}
+		}
+	}
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(p []byte) (int, error) {
+	if len(r.body)+len(p) > dedupe.MaxAnswer {
+		r.isTooLarge, r.body = true, nil
+	}
+	if !r.isTooLarge {
+		r.body = append(r.body, p...)
+	}
+	return r.ResponseWriter.Write(p)
+}
+
+// answer returns the copy, or nil when the answer was too large.
+func (r *recorder) answer() *dedupe.Answer {
+	if r.isTooLarge || r.status == 0 {
+		return nil
+	}
+	return &dedupe.Answer{Status: r.status, Header: r.header, Body: r.body}
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -20,13 +20,21 @@
 		a.finish(j, a.reject(j, err))
 		return
 	}
-	outcome := a.process(j)
+	outcome := a.processOrReplay(j)
 	a.finish(j, outcome)
 	if outcome.isCut {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// processOrReplay answers a request. One that is not idempotent and carries a key runs at most once.
+func (a *Agent) processOrReplay(j *job) result {
+	if key := j.request.Header.Get(headerKey); key != "" && !j.isIdempotent() {
+		return a.processOnce(j, key)
+	}
+	return a.process(j)
+}
+
 func (a *Agent) finish(j *job, r result) {
 	a.requests.finished(j.class, r.outcome)
 	a.log.Emit(events.RequestFinished, events.F("request", j.name), events.F("class", j.class.String()),
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -3,6 +3,7 @@
 package control
 
 import (
+	"gentianswitch/internal/dedupe"
 	"gentianswitch/internal/member"
 )
 
@@ -25,6 +26,9 @@
 	RelayRequest    *RelayRequest    `msgpack:"relay_request,omitempty"`
 	RelayHead       *RelayHead       `msgpack:"relay_head,omitempty"`
 	RelayChunk      *RelayChunk      `msgpack:"relay_chunk,omitempty"`
+	Claim           *dedupe.Claim    `msgpack:"claim,omitempty"`
+	ClaimReply      *dedupe.Reply    `msgpack:"claim_reply,omitempty"`
+	Settle          *dedupe.Settle   `msgpack:"settle,omitempty"`
 }
 
 // Announce is what an agent tells its home balancers, at each heartbeat and at each change.
--- /dev/null
+++ b/internal/dedupe/property_test.go
@@ -0,0 +1,143 @@
+package dedupe
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+)
+
+// pool is a simulated pool whose agents die, restart without memory and lose messages.
+type pool struct {
+	t      *rapid.T
+	now    time.Time
+	names  []string
+	agents map[string]*Replica
+	rings  map[string]*Ring
+	runs   map[string]int
+	claims int
+}
+
+func keyMadeAt(at time.Time, n int) string {
+	var id uuid.UUID
+	var ms [8]byte
+	binary.BigEndian.PutUint64(ms[:], uint64(at.UnixMilli()))
+	copy(id[:6], ms[2:])
+	binary.BigEndian.PutUint32(id[12:], uint32(n))
+	id[6], id[8] = 0x70, 0x80
+	return id.String()
+}
+
+func newPool(t *rapid.T) *pool {
+	p := &pool{
+		t: t, now: time.UnixMilli(1_800_000_000_000), agents: make(map[string]*Replica),
+		rings: make(map[string]*Ring), runs: make(map[string]int),
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "agents") {
+		p.names = append(p.names, fmt.Sprint("agent-", i))
+	}
+	for _, name := range p.names {
+		p.start(name)
+	}
+	p.now = p.now.Add(time.Hour)
+	return p
+}
+
+func (p *pool) start(name string) {
+	p.agents[name] = NewReplica(p.now)
+	p.rings[name] = NewRing(name)
+	p.rings[name].Set(p.now, p.names)
+}
+
+// repeat sends a keyed request to an agent, which claims, runs and settles with messages lost on the way.
+func (p *pool) repeat(key string) {
+	name := rapid.SampledFrom(p.names).Draw(p.t, "agent")
+	ring := p.rings[name]
+	if ring == nil {
+		return
+	}
+	p.claims++
+	c := Claim{Key: key, Claimer: fmt.Sprint(p.claims), Replicas: ring.Replicas(p.now, key)}
+	var replies []Reply
+	for _, replica := range c.Replicas {
+		if p.agents[replica] == nil || rapid.IntRange(0, 4).Draw(p.t, "lose claim") == 0 {
+			continue
+		}
+		reply := p.agents[replica].Claim(p.now, c, p.rings[replica].Replicas(p.now, key), replica)
+		if rapid.IntRange(0, 4).Draw(p.t, "lose reply") != 0 {
+			replies = append(replies, reply)
+		}
+	}
+	s := Settle{Key: key, Claimer: c.Claimer, State: Granted}
+	if Decide(len(c.Replicas), replies).IsOwned {
+		s.State = rapid.SampledFrom([]State{Done, Unsure, Granted}).Draw(p.t, "outcome")
+		if s.State != Granted {
+			p.runs[key]++
+		}
+	}
+	for _, replica := range c.Replicas {
+		if p.agents[replica] != nil && rapid.IntRange(0, 3).Draw(p.t, "lose settle") != 0 {
+			p.agents[replica].Settle(s)
+		}
+	}
+	if p.runs[key] > 1 {
+		p.t.Fatalf("key %s ran %d times", key, p.runs[key])
+	}
+}
+
+func TestAKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPool(t)
+		var keys []string
+		t.Repeat(map[string]func(*rapid.T){
+			"new key": func(*rapid.T) {
+				keys = append(keys, keyMadeAt(p.now, len(keys)))
+				p.repeat(keys[len(keys)-1])
+			},
+			"repeat": func(t *rapid.T) {
+				if len(keys) > 0 {
+					p.repeat(rapid.SampledFrom(keys).Draw(t, "key"))
+				}
+			},
+			"die": func(t *rapid.T) {
+				name := rapid.SampledFrom(p.names).Draw(t, "dead")
+				p.agents[name], p.rings[name] = nil, nil
+			},
+			"restart": func(t *rapid.T) { p.start(rapid.SampledFrom(p.names).Draw(t, "restarted")) },
+			"wait": func(t *rapid.T) {
+				p.now = p.now.Add(time.Duration(rapid.IntRange(1, 400_000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+func TestAnOpaqueKeyIsNotGrantedByAYoungReplica(t *testing.T) {
+	start := time.UnixMilli(1_800_000_000_000)
+	ring := NewRing("a")
+	claim := Claim{Key: "opaque", Claimer: "1", Replicas: []string{"a"}}
+	r := NewReplica(start)
+	if got := r.Claim(start.Add(time.Minute), claim, ring.Replicas(start, "opaque"), "a"); got.State != Silent {
+		t.Fatalf("state %d, expected silence", got.State)
+	}
+	later := start.Add(Retention + time.Minute)
+	if got := r.Claim(later, claim, ring.Replicas(later, "opaque"), "a"); got.State != Granted {
+		t.Fatalf("state %d, expected a grant", got.State)
+	}
+}
+
+func TestAStoredAnswerIsGivenAgain(t *testing.T) {
+	start := time.UnixMilli(1_800_000_000_000)
+	now := start.Add(time.Minute)
+	key := keyMadeAt(now, 1)
+	claim := Claim{Key: key, Claimer: "1", Replicas: []string{"a"}}
+	r := NewReplica(start)
+	r.Claim(now, claim, []string{"a"}, "a")
+	r.Settle(Settle{Key: key, Claimer: "1", State: Done, Answer: &Answer{Status: 200, Body: []byte("once")}})
+	v := Decide(1, []Reply{r.Claim(now, claim, []string{"a"}, "a")})
+	if v.IsOwned || v.Answer == nil || string(v.Answer.Body) != "once" {
+		t.Fatalf("verdict %+v", v)
+	}
+}
--- a/internal/events/requests.go
+++ b/internal/events/requests.go
@@ -26,4 +26,6 @@
 	HealthChanged = define(509, logrus.WarnLevel, "health changed",
 		"The agent's judgement on its target, from the answers seen, has changed. An ejected target gets no new flows "+
 			"while another target of the pool can take them.", "state", "reason")
+	KeyNotSettled = define(510, logrus.WarnLevel, "key not settled",
+		"A replica of an idempotency key was not told how the request ended; it answers repeats as unknown.", "peer", "error")
 )
