--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -92,6 +92,9 @@
 		m.toggleTarget(subject, e.record)
 		m.noteRestart(e, t)
 	}
+	if e.view != 0 && !e.isRenewed {
+		m.replaced[subject] = e.inView(subject)
+	}
 	e.record = pack(t)
 	e.isRenewed = true
 	m.toggleTarget(subject, e.record)
@@ -188,7 +191,9 @@
 	}
 	m.digest.toggle(subject, observationHash(subject, added))
 	if isBalancer {
-		m.isLivenessStale = true
+		// A balancer that is live stays so with one more that sees it, and the other way round.
+		isLive := m.balancers[subject].isLive
+		m.isLivenessStale = m.isLivenessStale || isLive != (o.Sight == Seen)
 	} else {
 		m.changed[subject] = struct{}{}
 	}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -42,6 +42,7 @@
 	{Balancer, "dropped_no_listener", Counter, "", "datagrams", "Answers for an address whose port has no socket here."},
 	{Balancer, "store_calls_failed", Counter, "", "calls", "Failed calls to the platform's store."},
 	{Balancer, "revision", Gauge, "", "revision", "Number of the revision in force."},
+	{Balancer, "store_reader", Gauge, "", "1 or 0", "1 while this balancer reads the store; three of each availability zone do."},
 	{Agent, "dropped_bad_envelope", Counter, "", "datagrams", "Malformed or forged datagrams on the data socket."},
 	{Agent, "dropped_malformed", Counter, "", "datagrams", "Payloads that are no QUIC packet or of no class that is served."},
 	{Agent, "dropped_unknown_flow", Counter, "", "datagrams", "Packets of no flow that an agent has issued an ID for."},
