--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 BENCHTIME ?= 200ms
 BENCH ?= .
 BENCH_DIR := bin/bench
-BENCH_PACKAGES := ./internal/route ./internal/balancer ./internal/revision ./internal/member
+BENCH_PACKAGES := ./internal/route ./internal/balancer ./internal/revision ./internal/frame ./internal/control ./internal/member
 
 .PHONY: build test race lint format docs fuzz bench
 
