--- a/internal/member/property_test.go
+++ b/internal/member/property_test.go
@@ -20,6 +20,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.checks", histories)
+	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
