--- /dev/null
+++ b/internal/dedupe/seed_test.go
@@ -0,0 +1,6 @@
+package dedupe
+
+import "flag"
+
+// The seed of the property tests is fixed, so that every run gives the same verdict.
+var _ = flag.Set("rapid.seed", "1")
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -56,6 +56,7 @@
 	{Agent, "requests", Counter, "class, outcome", "requests", "Finished requests by class and outcome."},
 	{Agent, "retries", Counter, "", "requests", "Requests sent to the target once more."},
 	{Agent, "relayed", Counter, "", "requests", "Requests given to another agent of the pool before they were run."},
+	{Agent, "uncovered_keys", Counter, "", "requests", "Requests with an idempotency key in a pool too large to claim keys in; repeats may run again."},
 	{Agent, "cut_feeds", Counter, "", "feeds", "Feeds that a forced end has cut."},
 	{Agent, "cut_requests", Counter, "", "requests", "Requests that a forced end has cut."},
 }
