Keep free for short work the slots that it uses on average

Cause: short requests waited behind long work on hosts where long work held all slots but one, while others had room; what short work needs depends on the mix, which a fixed reserve does not know. Ruled out: the pause between offers (a try of 25 ms in place of 100 ms had no effect and was reverted). Change: the reserve is the moving average of the slots in use by short work, at least the declared one.

--- a/cmd/gentian-experiment/main.go
+++ b/cmd/gentian-experiment/main.go
@@ -31,6 +31,7 @@
 	deployment := fs.String("deployment", "sierra", "sierra or taiwan")
 	only := fs.String("only", "", "comma-separated `names` of experiments; empty for all")
 	seed := fs.Uint64("seed", 1, "`seed` of the load and of the fabric")
+	policies := fs.String("policies", strings.Join(experiment.Policies, ","), "comma-separated `names` of admission policies")
 	file := fs.String("report", "", "`file` for the results as JSON")
 	if err := fs.Parse(args); err != nil {
 		return program.ReportUsage(name, err)
@@ -39,7 +40,10 @@
 	if err != nil {
 		return program.ReportUsage(name, err)
 	}
-	results, err := measure(d, *only, *seed)
+	settings := experiment.Settings{
+		Deployment: d, Seed: *seed, Policies: strings.Split(*policies, ","), Out: os.Stdout,
+	}
+	results, err := measure(settings, *only)
 	if err == nil && *file != "" {
 		err = save(*file, results)
 	}
@@ -50,19 +54,20 @@
 	return program.ExitOK
 }
 
-func measure(d emulator.Deployment, only string, seed uint64) ([]*experiment.Result, error) {
+func measure(settings experiment.Settings, only string) ([]*experiment.Result, error) {
 	own, err := os.Executable()
 	if err != nil {
 		return nil, eris.Wrap(err, "find programs")
 	}
+	settings.Bin = filepath.Dir(own)
 	graceful, _ := program.Stopping()
 	var results []*experiment.Result
 	for _, x := range experiment.All() {
 		if only != "" && !strings.Contains(","+only+",", ","+x.Name+",") {
 			continue
 		}
-		fmt.Printf("%s: %s (%s, seed %d)\n", x.Name, x.Matter, d.Name, seed)
-		result, err := x.Run(graceful, d, filepath.Dir(own), seed, os.Stdout)
+		fmt.Printf("%s: %s (%s, seed %d)\n", x.Name, x.Matter, settings.Deployment.Name, settings.Seed)
+		result, err := x.Run(graceful, settings)
 		if err != nil {
 			return nil, eris.Wrapf(err, "experiment %s", x.Name)
 		}
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -175,6 +175,7 @@
 	running   map[ID]running
 	relayed   map[ID]waiting
 	durations *durations
+	use       shortUse
 	peers     peers
 	returns   returnSchedule
 }
@@ -202,6 +203,7 @@
 
 // Step applies an event and returns the actions that follow from it.
 func (m *Machine) Step(now time.Time, event Event) []Action {
+	m.advanceUse(now)
 	switch e := event.(type) {
 	case Arrive:
 		return m.arrive(now, e.Request)
@@ -410,5 +412,5 @@
 
 // longLimit is the number of slots that long work may take at once.
 func (m *Machine) longLimit() int {
-	return max(1, m.settings.Slots-m.settings.ShortReserve)
+	return max(1, m.settings.Slots-m.reserve())
 }
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -54,6 +54,23 @@
 	expectDispatch(t, m.Step(start, request(4, class.Short, time.Minute)), 4)
 }
 
+func TestTheReserveFollowsTheSlotsThatShortWorkUses(t *testing.T) {
+	m := newMachine(t, Settings{Slots: 5, ShortReserve: 1, QueueLimit: 8})
+	m.Step(start, request(1, class.Short, time.Minute))
+	m.Step(start, request(2, class.Short, time.Minute))
+	m.Step(start, request(3, class.Short, time.Minute))
+	later := start.Add(4 * useWindow)
+	m.Step(later, Tick{})
+	for id := ID(1); id <= 3; id++ {
+		m.Step(later, Finish{ID: id, HasRun: true})
+	}
+	expectDispatch(t, m.Step(later, request(4, class.Long, time.Hour)), 4)
+	expectDispatch(t, m.Step(later, request(5, class.Long, time.Hour)), 5)
+	expectDispatch(t, m.Step(later, request(6, class.Long, time.Hour)))
+	idle := later.Add(4 * useWindow)
+	expectDispatch(t, m.Step(idle, Tick{}), 6)
+}
+
 func TestFIFOLetsLongWorkTakeEverySlot(t *testing.T) {
 	m := newMachine(t, Settings{Slots: 2, ShortReserve: 1, QueueLimit: 8, Policy: PolicyFIFO})
 	expectDispatch(t, m.Step(start, request(1, class.Long, time.Minute)), 1)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -66,10 +66,23 @@
 	}
 }
 
-// Run runs an experiment with the programs in the directory bin and tells its progress on out.
-func (x Experiment) Run(ctx context.Context, d emulator.Deployment, bin string, seed uint64, out io.Writer) (*Result, error) {
-	r := &runner{ctx: ctx, name: x.Name, bin: bin, seed: seed, out: out, result: &Result{}}
-	err := x.run(r, d)
+// Settings are what all experiments of a run share.
+type Settings struct {
+	Deployment emulator.Deployment
+	// Bin is the directory of the programs.
+	Bin      string
+	Seed     uint64
+	Policies []string
+	// Out receives the progress.
+	Out io.Writer
+}
+
+// Run runs an experiment.
+func (x Experiment) Run(ctx context.Context, s Settings) (*Result, error) {
+	r := &runner{
+		ctx: ctx, name: x.Name, bin: s.Bin, seed: s.Seed, out: s.Out, policies: s.Policies, result: &Result{},
+	}
+	err := x.run(r, s.Deployment)
 	return r.result, err
 }
 
@@ -81,6 +94,8 @@
 	seed   uint64
 	out    io.Writer
 	result *Result
+	// policies are the admission policies to compare.
+	policies []string
 }
 
 func (r *runner) scenario(s Scenario) (*Outcome, error) {
@@ -104,7 +119,7 @@
 
 // pair runs two scenarios under each policy and passes the outcomes to compare.
 func (r *runner) pair(first, second Scenario, compare func(policy string, a, b *Outcome)) error {
-	for _, policy := range policies {
+	for _, policy := range r.policies {
 		first.Policy, second.Policy = policy, policy
 		a, err := r.scenario(first)
 		if err != nil {
@@ -121,7 +136,7 @@
 
 // each runs a scenario under each policy and passes the outcomes to judge.
 func (r *runner) each(s Scenario, judge func(policy string, o *Outcome)) error {
-	for _, policy := range policies {
+	for _, policy := range r.policies {
 		s.Policy = policy
 		o, err := r.scenario(s)
 		if err != nil {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -148,4 +148,4 @@
 }
 
 // Policies are the production policy and the baseline.
-var policies = []string{admit.PolicyFull, admit.PolicyFIFO}
+var Policies = []string{admit.PolicyFull, admit.PolicyFIFO}
