Reserve two fifths of the slots for short work by default

Cause: the average of the slots in use is zero when the first uploads arrive, so a crest that opens with uploads met a reserve of 1. Change: the setting short-reserve defaults to two fifths of the slots (2 of 5 at Sierra, 1 of 3 in Taiwan).

--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -72,7 +72,8 @@
 // definePolicy adds the settings of the admission and of its bounds.
 func definePolicy(fs *flag.FlagSet, own *agent.Settings) {
 	fs.StringVar(&own.Policy, "policy", admit.PolicyFull, "admission policy: full, or fifo as a baseline to compare with")
-	fs.IntVar(&own.ShortReserve, "short-reserve", 1, "`number` of slots that long work may not take")
+	fs.IntVar(&own.ShortReserve, "short-reserve", admit.DefaultReserve,
+		"`number` of slots that long work may not take, at least; -1 for two fifths of the slots")
 	fs.IntVar(&own.QueueLimit, "queue-limit", 256, "`number` of requests that may wait; the next is refused")
 	fs.DurationVar(&own.Deadline, "deadline", 10*time.Second, "`time` for short requests that state no deadline")
 	fs.DurationVar(&own.LongDeadline, "long-deadline", 2*time.Minute, "`time` for long requests that state no deadline")
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -19,7 +19,8 @@
 type Settings struct {
 	// Slots is the number of requests that the target runs at once, at least 1.
 	Slots int
-	// ShortReserve is the number of slots that long work may not take. Long work keeps at least one slot.
+	// ShortReserve is the number of slots that long work may not take, or DefaultReserve. Long work keeps at least one
+	// slot.
 	ShortReserve int
 	// QueueLimit is the number of requests that may wait.
 	QueueLimit int
@@ -34,8 +35,8 @@
 	switch {
 	case s.Slots < 1:
 		return eris.Errorf("slots %d, expected at least 1", s.Slots)
-	case s.ShortReserve < 0:
-		return eris.Errorf("short-reserve %d, expected at least 0", s.ShortReserve)
+	case s.ShortReserve < DefaultReserve:
+		return eris.Errorf("short-reserve %d, expected at least %d", s.ShortReserve, DefaultReserve)
 	case s.QueueLimit < 0:
 		return eris.Errorf("queue-limit %d, expected at least 0", s.QueueLimit)
 	}
@@ -189,6 +190,7 @@
 	if err != nil {
 		return nil, err
 	}
+	settings.ShortReserve = declaredReserve(settings.ShortReserve, settings.Slots)
 	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed))
 	return &Machine{
 		settings:  settings,
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -71,6 +71,15 @@
 	expectDispatch(t, m.Step(idle, Tick{}), 6)
 }
 
+func TestTheDefaultReserveIsTwoFifthsOfTheSlots(t *testing.T) {
+	for slots, want := range map[int]int{1: 0, 3: 1, 5: 2, 10: 4} {
+		m := newMachine(t, Settings{Slots: slots, ShortReserve: DefaultReserve})
+		if m.reserve() != want {
+			t.Errorf("%d of %d slots, expected %d", m.reserve(), slots, want)
+		}
+	}
+}
+
 func TestFIFOLetsLongWorkTakeEverySlot(t *testing.T) {
 	m := newMachine(t, Settings{Slots: 2, ShortReserve: 1, QueueLimit: 8, Policy: PolicyFIFO})
 	expectDispatch(t, m.Step(start, request(1, class.Long, time.Minute)), 1)
--- a/internal/admit/limits.go
+++ b/internal/admit/limits.go
@@ -11,6 +11,6 @@
 func (Limits) isEvent() {}
 
 func (m *Machine) setLimits(l Limits) {
-	m.settings.ShortReserve = max(0, l.ShortReserve)
+	m.settings.ShortReserve = declaredReserve(l.ShortReserve, m.settings.Slots)
 	m.settings.QueueLimit = max(0, l.QueueLimit)
 }
--- a/internal/admit/reserve.go
+++ b/internal/admit/reserve.go
@@ -7,6 +7,17 @@
 	"gentianswitch/internal/class"
 )
 
+// DefaultReserve as the declared reserve stands for two fifths of the slots.
+const DefaultReserve = -1
+
+// declaredReserve returns the reserve in slots that a setting stands for.
+func declaredReserve(setting, slots int) int {
+	if setting != DefaultReserve {
+		return setting
+	}
+	return int(math.Round(2 * float64(slots) / 5))
+}
+
 // useWindow is the time over which the slots in use by short work are averaged.
 const useWindow = 5 * time.Second
 
@@ -29,9 +40,6 @@
 // reserve returns the number of slots that long work may not take: what short work uses on average, at least the
 // declared reserve.
 func (m *Machine) reserve() int {
-	if !m.strategy.usesClasses() {
-		return m.settings.ShortReserve
-	}
 	return max(m.settings.ShortReserve, int(math.Round(m.use.average)))
 }
 
