Give the count of sent datagrams time to read them

The count set a deadline of 100 ms before each read, and a read fails once its deadline has passed even when a datagram waits, so a pause of the process of 100 ms ended the count.

--- a/internal/balancer/stop_test.go
+++ b/internal/balancer/stop_test.go
@@ -45,10 +45,10 @@
 	if err := b.Run(ctx); err != nil {
 		t.Fatal(err)
 	}
-	if n := countDatagrams(agent); n != stopTestBatches {
+	if n := countDatagrams(agent, stopTestBatches); n != stopTestBatches {
 		t.Errorf("the agent received %d of %d datagrams", n, stopTestBatches)
 	}
-	if n := countDatagrams(caller); n != stopTestBatches {
+	if n := countDatagrams(caller, stopTestBatches); n != stopTestBatches {
 		t.Errorf("the caller received %d of %d datagrams", n, stopTestBatches)
 	}
 }
@@ -108,12 +108,23 @@
 	return addressOf(socket)
 }
 
-// countDatagrams counts what waits in a socket. Loopback delivers before the write returns.
-func countDatagrams(socket *net.UDPConn) int {
+// Waits of countDatagrams. A read fails once its deadline has passed, also when a datagram waits, so the wait for those
+// that must come is longer than any pause of the process.
+const (
+	expectedWait = 10 * time.Second
+	surplusWait  = 100 * time.Millisecond
+)
+
+// countDatagrams counts what waits in a socket: it waits long for the expected number and briefly for more.
+func countDatagrams(socket *net.UDPConn, expected int) int {
 	buffer := make([]byte, bufferBytes)
 	count := 0
 	for {
-		_ = socket.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		wait := expectedWait
+		if count >= expected {
+			wait = surplusWait
+		}
+		_ = socket.SetReadDeadline(time.Now().Add(wait))
 		if _, _, err := socket.ReadFromUDPAddrPort(buffer); err != nil {
 			return count
 		}
