--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math"
 	"os"
 	"time"
@@ -12,6 +11,7 @@
 
 	"gentianswitch/internal/admit"
 	"gentianswitch/internal/agent"
+	"gentianswitch/internal/control"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
@@ -20,37 +20,55 @@
 const name = "gentian-agent"
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	var o options
+	service := program.Service{
+		Name: name, Example: name + " --settings examples/sierra/agent-requests-1.yaml",
+		MetricsPrefix: metrics.Agent, Define: o.define, Check: o.check, New: o.newProcess,
+	}
+	os.Exit(service.Main(os.Args[1:]))
 }
 
-func run(args []string) int {
-	var common settings.Common
-	var own agent.Settings
-	var service uint
-	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	common.Define(fs)
-	fs.StringVar(&own.Target, "target", "", "`host:port` at which the local target accepts HTTP/1.1")
-	fs.UintVar(&service, "service", 0, "`number` of the service that the target runs, 1 to 65535")
-	fs.IntVar(&own.Slots, "slots", 0, "`number` of requests that the target runs at once")
-	fs.IntVar(&own.Connections, "connections", 2000, "`number` of flows that the agent accepts")
-	settings.AddrPortsVar(fs, &own.Balancers, "balancers", "control addresses of the balancers")
-	definePolicy(fs, &own)
-	err := settings.Parse(fs, args, name+" --settings examples/sierra/agent-requests-1.yaml", os.Stderr)
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	if common.IsVersion {
-		fmt.Println(name, program.Version)
-		return program.ExitOK
+// options are the settings of an agent; service is checked before it becomes part of them.
+type options struct {
+	settings agent.Settings
+	service  uint
+	// public names the files of the certificate for callers.
+	public control.Files
+}
+
+func (o *options) define(fs *flag.FlagSet) {
+	fs.StringVar(&o.settings.Target, "target", "", "`host:port` at which the local target accepts HTTP/1.1")
+	fs.UintVar(&o.service, "service", 0, "`number` of the service that the target runs, 1 to 65535")
+	fs.IntVar(&o.settings.Slots, "slots", 0, "`number` of requests that the target runs at once")
+	fs.IntVar(&o.settings.Connections, "connections", 2000, "`number` of flows that the agent accepts")
+	settings.AddrPortsVar(fs, &o.settings.Balancers, "balancers", "control addresses of the balancers")
+	fs.StringVar(&o.public.Certificate, "public-certificate", "", "PEM `file` with the certificate for callers; empty for certificate")
+	fs.StringVar(&o.public.Key, "public-certificate-key", "", "PEM `file` with the private key of public-certificate")
+	definePolicy(fs, &o.settings)
+}
+
+func (o *options) check(common *settings.Common) error {
+	if err := checkTarget(common, o.settings, o.service); err != nil {
+		return err
 	}
-	if err := common.Check(); err != nil {
-		return program.ReportUsage(name, err)
+	o.settings.Service = uint16(o.service)
+	if (o.public.Certificate == "") != (o.public.Key == "") {
+		return eris.New("settings public-certificate and public-certificate-key: expected both or none")
 	}
-	if err := checkTarget(&common, own, service); err != nil {
-		return program.ReportUsage(name, err)
+	return nil
+}
+
+func (o *options) newProcess(parts program.Parts) (program.Process, error) {
+	s := o.settings
+	s.Zone, s.Data, s.Control = parts.Common.Zone, parts.Common.Data, parts.Common.Control
+	if o.public.Certificate != "" {
+		if err := parts.Credentials.SetPublic(o.public); err != nil {
+			return nil, err
+		}
 	}
-	own.Service = uint16(service)
-	return start(&common, own)
+	// The library would log a line of its own, since it sees no kernel socket behind the envelopes.
+	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
+	return agent.New(s, parts.Keys, parts.Credentials, parts.Log, parts.Scope, time.Now())
 }
 
 // checkTarget reports the first setting of the target that is missing or out of range.
@@ -81,27 +99,3 @@
 	fs.Int64Var(&own.LongBodyLimit, "long-body-limit", 64<<20, "`bytes` of the body of a long request; a larger one gets status 413")
 	fs.DurationVar(&own.SlowStart, "slow-start", 5*time.Second, "`time` over which a target that starts gets a growing share of new work")
 }
-
-func start(common *settings.Common, own agent.Settings) int {
-	own.Zone, own.Data, own.Control = common.Zone, common.Data, common.Control
-	log, set, credentials, err := program.Prepare(common)
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	if common.IsCheckOnly {
-		fmt.Println("settings are valid")
-		return program.ExitOK
-	}
-	stats := metrics.New(metrics.Agent)
-	a, err := agent.New(own, set, credentials, log, stats, time.Now())
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	// The library would log a line of its own, since it sees no kernel socket behind the envelopes.
-	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
-	graceful, force := program.Stopping()
-	program.ReloadKeysOnHangup(graceful, common, a, log)
-	go func() { _ = stats.Serve(force, common.Metrics) }()
-	program.Begin(log, name, common)
-	return program.Finish(log, a.Run(graceful, force))
-}
--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -2,11 +2,13 @@
 package main
 
 import (
+	"context"
 	"flag"
-	"fmt"
 	"net/netip"
 	"os"
 
+	"github.com/rotisserie/eris"
+
 	"gentianswitch/internal/balancer"
 	"gentianswitch/internal/member"
 	"gentianswitch/internal/metrics"
@@ -19,68 +21,61 @@
 const name = "gentian-balancer"
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	var o options
+	service := program.Service{
+		Name: name, Example: name + " --settings examples/sierra/balancer-quito.yaml",
+		MetricsPrefix: metrics.Balancer, Define: o.define, Check: o.check, New: o.newProcess,
+	}
+	os.Exit(service.Main(os.Args[1:]))
+}
+
+// options are the settings of a balancer, the last three as text that check parses.
+type options struct {
+	settings  balancer.Settings
+	bindIP    string
+	detection string
+	placement string
 }
 
-func run(args []string) int {
-	var common settings.Common
-	var own balancer.Settings
-	var bindIP, detection, placement string
-	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	common.Define(fs)
-	fs.StringVar(&own.Store, "store", "", "`host:port` of the platform's key-value service")
-	fs.StringVar(&bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
-	settings.AddrPortsVar(fs, &own.Peers, "peers", "control addresses of balancers from which this one learns the others")
-	fs.StringVar(&detection, "detection", member.Conservative.String(),
+func (o *options) define(fs *flag.FlagSet) {
+	fs.StringVar(&o.settings.Store, "store", "", "`host:port` of the platform's key-value service")
+	fs.StringVar(&o.bindIP, "bind-ip", "", "local `IP` to bind in place of routes' addresses, for fabrics that rewrite the destination")
+	fs.StringVar(&o.detection, "detection", member.Conservative.String(),
 		"when a target or a balancer has failed: conservative (none of its observers hears it) or aggressive (one does not)")
-	fs.StringVar(&placement, "placement", route.Slots{}.Name(), "how a target is chosen for a new flow: slots or rendezvous")
-	settings.PrefixesVar(fs, &own.Networks, "agent-networks", "networks in which agents live; empty allows every address")
-	err := settings.Parse(fs, args, name+" --settings examples/sierra/balancer-quito.yaml", os.Stderr)
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	if common.IsVersion {
-		fmt.Println(name, program.Version)
-		return program.ExitOK
-	}
-	if err := common.Check(); err != nil {
-		return program.ReportUsage(name, err)
-	}
-	if own.Store == "" {
-		return program.ReportUsage(name, common.Missing("store", "host:port"))
+	fs.StringVar(&o.placement, "placement", route.Slots{}.Name(), "how a target is chosen for a new flow: slots or rendezvous")
+	settings.AddrPortsVar(fs, &o.settings.Peers, "peers", "control addresses of balancers from which this one learns the others")
+	settings.PrefixesVar(fs, &o.settings.Networks, "agent-networks", "networks in which agents live; empty allows every address")
+}
+
+func (o *options) check(common *settings.Common) error {
+	var err error
+	if o.settings.Store == "" {
+		return common.Missing("store", "host:port")
 	}
-	if own.Detection, err = member.DetectionByName(detection); err != nil {
-		return program.ReportUsage(name, err)
+	if o.settings.Detection, err = member.DetectionByName(o.detection); err != nil {
+		return eris.Wrap(err, "setting detection")
 	}
-	if bindIP != "" {
-		if own.BindIP, err = netip.ParseAddr(bindIP); err != nil {
-			return program.ReportUsage(name, err)
-		}
+	if o.settings.Placement, err = route.StrategyByName(o.placement); err != nil {
+		return eris.Wrap(err, "setting placement")
 	}
-	if own.Placement, err = route.StrategyByName(placement); err != nil {
-		return program.ReportUsage(name, err)
+	if o.bindIP == "" {
+		return nil
 	}
-	return start(&common, own)
+	o.settings.BindIP, err = netip.ParseAddr(o.bindIP)
+	return eris.Wrap(err, "setting bind-ip")
 }
 
-func start(common *settings.Common, own balancer.Settings) int {
-	own.Zone, own.Data, own.Control = common.Zone, common.Data, common.Control
-	log, set, credentials, err := program.Prepare(common)
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	if common.IsCheckOnly {
-		fmt.Println("settings are valid")
-		return program.ExitOK
-	}
-	stats := metrics.New(metrics.Balancer)
-	b, err := balancer.New(own, set, credentials, store.NewHTTP(own.Store), log, stats)
-	if err != nil {
-		return program.ReportUsage(name, err)
-	}
-	graceful, _ := program.Stopping()
-	program.ReloadKeysOnHangup(graceful, common, b, log)
-	go func() { _ = stats.Serve(graceful, common.Metrics) }()
-	program.Begin(log, name, common)
-	return program.Finish(log, b.Run(graceful))
+// process runs a balancer, whose stop is never forced.
+type process struct{ *balancer.Balancer }
+
+// Run implements program.Process.
+func (p process) Run(graceful, _ context.Context) error {
+	return p.Balancer.Run(graceful)
+}
+
+func (o *options) newProcess(parts program.Parts) (program.Process, error) {
+	s := o.settings
+	s.Zone, s.Data, s.Control = parts.Common.Zone, parts.Common.Data, parts.Common.Control
+	b, err := balancer.New(s, parts.Keys, parts.Credentials, store.NewHTTP(s.Store), parts.Log, parts.Scope)
+	return process{b}, err
 }
--- a/cmd/gentianctl/flags.go
+++ b/cmd/gentianctl/flags.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
@@ -39,6 +40,8 @@
 	files     control.Files
 	output    string
 	timeout   time.Duration
+	// isCheckOnly is true when the settings shall be validated and nothing else be done.
+	isCheckOnly bool
 }
 
 func newFlags(command string) *flags {
@@ -50,6 +53,7 @@
 	f.set.StringVar(&f.files.Authority, "authority", "", "PEM `file` with the authority of all certificates")
 	f.set.StringVar(&f.output, "o", operator.FormatText, "`format` of the output: text or json")
 	f.set.DurationVar(&f.timeout, "timeout", defaultTimeout, "time limit")
+	f.set.BoolVar(&f.isCheckOnly, "check", false, "validate the settings and exit")
 	f.set.String("settings", "", "YAML `file` with settings; its fields have the names of the flags")
 	return f
 }
@@ -66,11 +70,23 @@
 			if f.output != operator.FormatText && f.output != operator.FormatJSON {
 				return eris.Wrapf(errUsage, "-o %q, expected text or json", f.output)
 			}
+			if f.isCheckOnly {
+				return f.checkSettings()
+			}
 			return exec(ctx, args)
 		},
 	}
 }
 
+// checkSettings validates the settings that reach the store and the balancers.
+func (f *flags) checkSettings() error {
+	if _, err := f.operator(true, true); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
 // operator returns the operator that the settings describe.
 func (f *flags) operator(needsStore, needsBalancers bool) (*operator.Operator, error) {
 	if needsStore && f.store == "" {
--- a/internal/control/tls.go
+++ b/internal/control/tls.go
@@ -19,14 +19,16 @@
 // Credentials are the loaded Files.
 type Credentials struct {
 	certificate tls.Certificate
-	authority   *x509.CertPool
+	// public is the certificate for callers.
+	public    tls.Certificate
+	authority *x509.CertPool
 }
 
 // LoadCredentials reads and checks the files.
 func LoadCredentials(files Files) (*Credentials, error) {
-	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	pair, err := loadPair(files)
 	if err != nil {
-		return nil, eris.Wrapf(err, "load certificate %s with key %s", files.Certificate, files.Key)
+		return nil, err
 	}
 	pem, err := os.ReadFile(files.Authority)
 	if err != nil {
@@ -36,7 +38,19 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, eris.Errorf("load authority: %s holds no certificate", files.Authority)
 	}
-	return &Credentials{certificate: pair, authority: pool}, nil
+	return &Credentials{certificate: pair, public: pair, authority: pool}, nil
+}
+
+func loadPair(files Files) (tls.Certificate, error) {
+	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	return pair, eris.Wrapf(err, "load certificate %s with key %s", files.Certificate, files.Key)
+}
+
+// SetPublic loads another certificate for callers. The authority of files is not used.
+func (c *Credentials) SetPublic(files Files) error {
+	pair, err := loadPair(files)
+	c.public = pair
+	return err
 }
 
 // ServerName is the DNS name that the certificates of all processes carry.
@@ -64,5 +78,5 @@
 
 // Public returns the TLS settings of the listener for callers, which present no certificate.
 func (c *Credentials) Public() *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{c.certificate}}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{c.public}}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -9,11 +9,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-
-	"gentianswitch/internal/control"
-	"gentianswitch/internal/events"
-	"gentianswitch/internal/keys"
-	"gentianswitch/internal/settings"
 )
 
 // Version is the version that --version prints.
@@ -69,47 +64,3 @@
 		}
 	}()
 }
-
-// Reloader is a process whose keys can be replaced.
-type Reloader interface {
-	SetKeys(set *keys.Set) error
-}
-
-// ReloadKeysOnHangup reads the key file again on each SIGHUP until ctx ends. Keys that do not load change nothing.
-func ReloadKeysOnHangup(ctx context.Context, c *settings.Common, process Reloader, log *events.Logger) {
-	OnHangup(ctx, func() {
-		set, err := keys.Load(c.KeysFile)
-		if err == nil {
-			err = process.SetKeys(set)
-		}
-		if err != nil {
-			log.Emit(events.KeysRefused, events.Err(err))
-			return
-		}
-		log.Emit(events.KeysLoaded, events.F("current", set.Current().ID))
-	})
-}
-
-// Finish logs the end of a process and returns its exit code.
-func Finish(log *events.Logger, err error) int {
-	log.Emit(events.ProcessStopped, events.Err(err))
-	if err != nil {
-		return ExitFailed
-	}
-	return ExitOK
-}
-
-// Begin logs the start of a process.
-func Begin(log *events.Logger, name string, c *settings.Common) {
-	log.Emit(events.ProcessStarted, events.F("program", name), events.F("version", Version), events.F("zone", c.Zone))
-}
-
-// Prepare loads what the common settings name: the logger, the keys and the certificates.
-func Prepare(c *settings.Common) (*events.Logger, *keys.Set, *control.Credentials, error) {
-	log, err := events.NewLogger(os.Stderr, c.LogFormat, c.LogLevel)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	set, credentials, err := c.Secrets()
-	return log, set, credentials, err
-}
--- /dev/null
+++ b/internal/program/service.go
@@ -0,0 +1,123 @@
+package program
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/control"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/metrics"
+	"gentianswitch/internal/settings"
+)
+
+// Process is a balancer or an agent.
+type Process interface {
+	// SetKeys replaces the keys of connection IDs and envelopes.
+	SetKeys(set *keys.Set) error
+	// Run serves until graceful ends and the work in progress has ended, or until force ends.
+	Run(graceful, force context.Context) error
+}
+
+// Parts are what the common settings of a process name.
+type Parts struct {
+	Common      *settings.Common
+	Keys        *keys.Set
+	Credentials *control.Credentials
+	Log         *events.Logger
+	Scope       tally.Scope
+}
+
+// Service describes a program that runs one process.
+type Service struct {
+	Name string
+	// Example is a command line for the help.
+	Example string
+	// MetricsPrefix starts the names of the metrics.
+	MetricsPrefix string
+	// Define adds the program's own settings to the flag set.
+	Define func(fs *flag.FlagSet)
+	// Check reports the first of the program's own settings that is missing or out of range.
+	Check func(common *settings.Common) error
+	// New returns the process, which does not run yet.
+	New func(parts Parts) (Process, error)
+}
+
+// Main reads the settings, runs the process and returns the exit code.
+func (s Service) Main(args []string) int {
+	var common settings.Common
+	fs := flag.NewFlagSet(s.Name, flag.ContinueOnError)
+	common.Define(fs)
+	s.Define(fs)
+	if err := settings.Parse(fs, args, s.Example, os.Stderr); err != nil {
+		return ReportUsage(s.Name, err)
+	}
+	if common.IsVersion {
+		fmt.Println(s.Name, Version)
+		return ExitOK
+	}
+	parts, err := s.prepare(&common)
+	if err != nil {
+		return ReportUsage(s.Name, err)
+	}
+	if common.IsCheckOnly {
+		fmt.Println("settings are valid")
+		return ExitOK
+	}
+	return s.run(parts)
+}
+
+// prepare checks the settings and loads the files that they name.
+func (s Service) prepare(common *settings.Common) (Parts, error) {
+	if err := common.Check(); err != nil {
+		return Parts{}, err
+	}
+	if err := s.Check(common); err != nil {
+		return Parts{}, err
+	}
+	log, err := events.NewLogger(os.Stderr, common.LogFormat, common.LogLevel)
+	if err != nil {
+		return Parts{}, err
+	}
+	set, credentials, err := common.Secrets()
+	return Parts{Common: common, Keys: set, Credentials: credentials, Log: log}, err
+}
+
+func (s Service) run(parts Parts) int {
+	stats := metrics.New(s.MetricsPrefix)
+	parts.Scope = stats
+	process, err := s.New(parts)
+	if err != nil {
+		return ReportUsage(s.Name, err)
+	}
+	graceful, force := Stopping()
+	ended, end := context.WithCancel(force)
+	defer end()
+	OnHangup(ended, func() { reloadKeys(parts, process) })
+	go func() { _ = stats.Serve(ended, parts.Common.Metrics) }()
+	parts.Log.Emit(events.ProcessStarted, events.F("program", s.Name), events.F("version", Version),
+		events.F("zone", parts.Common.Zone))
+	err = process.Run(graceful, force)
+	parts.Log.Emit(events.ProcessStopped, events.Err(err))
+	if err != nil {
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// reloadKeys reads the key file again. Keys that do not load change nothing.
+func reloadKeys(parts Parts, process Process) {
+	set, err := keys.Load(parts.Common.KeysFile)
+	if err == nil {
+		err = process.SetKeys(set)
+	}
+	if err != nil {
+		parts.Log.Emit(events.KeysRefused, events.Err(err))
+		return
+	}
+	parts.Log.Emit(events.KeysLoaded, events.F("current", set.Current().ID))
+}
