--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 BENCH_DIR := bin/bench
 BENCH_PACKAGES := ./internal/route ./internal/balancer ./internal/revision ./internal/frame ./internal/control ./internal/member
 
-.PHONY: build test race lint format docs fuzz bench
+.PHONY: build test race lint format docs fuzz bench experiment
 
 build:
 	go build -o bin/ ./cmd/...
@@ -40,8 +40,15 @@
 	go vet ./...
 	$(LINT) run ./...
 
-# Prints each figure, ratios against baselines of the same run among them, and writes bin/bench/bench.txt and .json.
-bench:
+# Prints each figure, ratios against baselines of the same run among them, and writes them to bin/bench.
+bench: bench-code experiment
+
+# Measures the service that callers get from the real programs, under the production policy and the baseline.
+experiment: build
+	@mkdir -p $(BENCH_DIR)
+	bin/gentian-experiment --deployment $(DEPLOYMENT) --report $(BENCH_DIR)/experiment-$(DEPLOYMENT).json --plots $(BENCH_DIR) $(EXPERIMENT_FLAGS)
+
+bench-code:
 	@mkdir -p $(BENCH_DIR)
 	go test -p 1 -run '^$$' -bench '$(BENCH)' -benchmem -benchtime $(BENCHTIME) -timeout 20m $(BENCH_PACKAGES) > $(BENCH_DIR)/bench.txt; \
 	  status=$$?; cat $(BENCH_DIR)/bench.txt; go tool test2json < $(BENCH_DIR)/bench.txt > $(BENCH_DIR)/bench.json; exit $$status
--- a/cmd/gentian-agent/main.go
+++ b/cmd/gentian-agent/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"crypto/tls"
 	"flag"
 	"math"
 	"os"
@@ -32,8 +33,9 @@
 type options struct {
 	settings agent.Settings
 	service  uint
-	// public names the files of the certificate for callers.
-	public control.Files
+	// publicFiles names the files of the certificate for callers, public is what they hold.
+	publicFiles control.Files
+	public      tls.Certificate
 }
 
 func (o *options) define(fs *flag.FlagSet) {
@@ -42,8 +44,8 @@
 	fs.IntVar(&o.settings.Slots, "slots", 0, "`number` of requests that the target runs at once")
 	fs.IntVar(&o.settings.Connections, "connections", 2000, "`number` of flows that the agent accepts")
 	settings.AddrPortsVar(fs, &o.settings.Balancers, "balancers", "control addresses of the balancers")
-	fs.StringVar(&o.public.Certificate, "public-certificate", "", "PEM `file` with the certificate for callers; empty for certificate")
-	fs.StringVar(&o.public.Key, "public-certificate-key", "", "PEM `file` with the private key of public-certificate")
+	fs.StringVar(&o.publicFiles.Certificate, "public-certificate", "", "PEM `file` with the certificate for callers; empty for certificate")
+	fs.StringVar(&o.publicFiles.Key, "public-certificate-key", "", "PEM `file` with the private key of public-certificate")
 	definePolicy(fs, &o.settings)
 }
 
@@ -52,19 +54,27 @@
 		return err
 	}
 	o.settings.Service = uint16(o.service)
-	if (o.public.Certificate == "") != (o.public.Key == "") {
+	return o.loadPublic()
+}
+
+func (o *options) loadPublic() error {
+	hasCertificate, hasKey := o.publicFiles.Certificate != "", o.publicFiles.Key != ""
+	if hasCertificate != hasKey {
 		return eris.New("settings public-certificate and public-certificate-key: expected both or none")
 	}
-	return nil
+	if !hasCertificate {
+		return nil
+	}
+	var err error
+	o.public, err = control.LoadPair(o.publicFiles)
+	return err
 }
 
 func (o *options) newProcess(parts program.Parts) (program.Process, error) {
 	s := o.settings
 	s.Zone, s.Data, s.Control = parts.Common.Zone, parts.Common.Data, parts.Common.Control
-	if o.public.Certificate != "" {
-		if err := parts.Credentials.SetPublic(o.public); err != nil {
-			return nil, err
-		}
+	if o.publicFiles.Certificate != "" {
+		parts.Credentials.SetPublic(o.public)
 	}
 	// The library would log a line of its own, since it sees no kernel socket behind the envelopes.
 	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
--- a/cmd/gentian-experiment/main.go
+++ b/cmd/gentian-experiment/main.go
@@ -33,6 +33,7 @@
 	seed := fs.Uint64("seed", 1, "`seed` of the load and of the fabric")
 	policies := fs.String("policies", strings.Join(experiment.Policies, ","), "comma-separated `names` of admission policies")
 	file := fs.String("report", "", "`file` for the results as JSON")
+	plots := fs.String("plots", "", "`directory` for a plot of each scenario as SVG")
 	if err := fs.Parse(args); err != nil {
 		return program.ReportUsage(name, err)
 	}
@@ -47,6 +48,9 @@
 	if err == nil && *file != "" {
 		err = save(*file, results)
 	}
+	if err == nil && *plots != "" {
+		err = savePlots(*plots, results)
+	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return program.ExitFailed
@@ -54,6 +58,18 @@
 	return program.ExitOK
 }
 
+func savePlots(dir string, results []*experiment.Result) error {
+	for _, r := range results {
+		for _, o := range r.Outcomes {
+			file := strings.ReplaceAll(o.Report.Name, " ", "-") + ".svg"
+			if err := o.Report.SavePlot(filepath.Join(dir, file)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func measure(settings experiment.Settings, only string) ([]*experiment.Result, error) {
 	own, err := os.Executable()
 	if err != nil {
--- a/internal/control/tls.go
+++ b/internal/control/tls.go
@@ -26,7 +26,7 @@
 
 // LoadCredentials reads and checks the files.
 func LoadCredentials(files Files) (*Credentials, error) {
-	pair, err := loadPair(files)
+	pair, err := LoadPair(files)
 	if err != nil {
 		return nil, err
 	}
@@ -41,16 +41,15 @@
 	return &Credentials{certificate: pair, public: pair, authority: pool}, nil
 }
 
-func loadPair(files Files) (tls.Certificate, error) {
+// LoadPair reads a certificate and its key. The authority of files is not used.
+func LoadPair(files Files) (tls.Certificate, error) {
 	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	return pair, eris.Wrapf(err, "load certificate %s with key %s", files.Certificate, files.Key)
 }
 
-// SetPublic loads another certificate for callers. The authority of files is not used.
-func (c *Credentials) SetPublic(files Files) error {
-	pair, err := loadPair(files)
+// SetPublic sets the certificate for callers.
+func (c *Credentials) SetPublic(pair tls.Certificate) {
 	c.public = pair
-	return err
 }
 
 // ServerName is the DNS name that the certificates of all processes carry.
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -108,7 +108,7 @@
 	short.Deadline, short.Patience, short.Callers = shortDeadline, shortDeadline, shortCallers
 	short.Burst, short.BurstWindow = s.Burst, time.Second
 	p := load.Profile{
-		Name: s.Name + " " + s.Policy, Seed: seed, Length: length,
+		Name: s.Deployment.Name + " " + s.Name + " " + s.Policy, Seed: seed, Length: length,
 		Authority: e.File(certificates.AuthorityFile), Streams: []load.Stream{short},
 	}
 	if s.Long == 0 {
