End the process when a duty panics

Cause: the pool recovers a task's panic, so a balancer whose duty panicked went on without it; the stop test ran all along without its control duty, which panicked on missing credentials. Ruled out: the library's logging of panics (none). Change: a panic ends the group with the duty's name and the stack; the stop test has credentials and prints the counters. Failed first: TestAPanicEndsEveryDutyAndNamesItsOwn waited 10 s for its context; after: the panic is named.

--- a/internal/balancer/stop_test.go
+++ b/internal/balancer/stop_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"net"
 	"net/netip"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"gentianswitch/internal/class"
 	"gentianswitch/internal/connid"
+	"gentianswitch/internal/control"
 	"gentianswitch/internal/envelope"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/keys"
+	"gentianswitch/internal/standin/certificates"
 	"gentianswitch/internal/store"
 
 	"github.com/uber-go/tally/v4"
@@ -28,8 +31,21 @@
 	}
 	agent := listenLoopback(t)
 	caller := listenLoopback(t)
-	b, err := New(Settings{Data: freeAddress(t), Control: freeAddress(t)}, set, nil, store.NewHTTP("127.0.0.1:1"),
-		events.NewDiscardLogger(), tally.NoopScope)
+	scope := tally.NewTestScope("", nil)
+	dir := t.TempDir()
+	if err := certificates.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	credentials, err := control.LoadCredentials(control.Files{
+		Certificate: filepath.Join(dir, certificates.CertificateFile),
+		Key:         filepath.Join(dir, certificates.KeyFile),
+		Authority:   filepath.Join(dir, certificates.AuthorityFile),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := New(Settings{Data: freeAddress(t), Control: freeAddress(t)}, set, credentials, store.NewHTTP("127.0.0.1:1"),
+		events.NewDiscardLogger(), scope)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,6 +61,11 @@
 	if err := b.Run(ctx); err != nil {
 		t.Fatal(err)
 	}
+	for name, counter := range scope.Snapshot().Counters() {
+		if counter.Value() > 0 {
+			t.Logf("%s %d", name, counter.Value())
+		}
+	}
 	if n := countDatagrams(agent, stopTestBatches); n != stopTestBatches {
 		t.Errorf("the agent received %d of %d datagrams", n, stopTestBatches)
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/alitto/pond/v2"
 	"github.com/rotisserie/eris"
@@ -24,9 +25,10 @@
 	return &Group{pool: pond.NewPool(0), ctx: ctx, cancel: cancel}
 }
 
-// Go starts the duty with the given name. An error of the duty ends the whole group.
+// Go starts the duty with the given name. An error or a panic of the duty ends the whole group.
 func (g *Group) Go(name string, body Func) {
 	g.pool.Submit(func() {
+		defer g.endOnPanic(name)
 		err := body(g.ctx)
 		if err != nil && g.ctx.Err() == nil {
 			g.cancel(eris.Wrapf(err, "duty %s", name))
@@ -34,6 +36,14 @@
 	})
 }
 
+// endOnPanic ends the group when a duty has panicked. The pool alone would swallow the panic, and the process would go
+// on without the duty.
+func (g *Group) endOnPanic(name string) {
+	if cause := recover(); cause != nil {
+		g.cancel(eris.Errorf("duty %s: panic: %v\n%s", name, cause, debug.Stack()))
+	}
+}
+
 // Context returns the context of the duties.
 func (g *Group) Context() context.Context {
 	return g.ctx
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"gentianswitch/internal/duty"
 )
@@ -51,3 +52,14 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestAPanicEndsEveryDutyAndNamesItsOwn(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	g := duty.NewGroup(ctx)
+	g.Go("wait", wait)
+	g.Go("receive", func(context.Context) error { panic("index out of range") })
+	if err := g.Wait(); err == nil || !strings.Contains(err.Error(), "duty receive: panic: index out of range") {
+		t.Errorf("got %v, expected the panic of duty receive", err)
+	}
+}
