--- /dev/null
+++ b/integration/client_test.go
@@ -0,0 +1,122 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/class"
+	"gentianswitch/internal/emulator"
+	"gentianswitch/internal/standin/callers"
+	"gentianswitch/internal/standin/certificates"
+	"gentianswitch/internal/standin/target"
+)
+
+// onePool is a deployment whose routes of all classes lead to one pool.
+func onePool(hosts, slots int, agentArgs ...string) emulator.Deployment {
+	return emulator.Deployment{
+		Name:      "one-pool",
+		Zones:     []string{"quito", "ambato", "cuenca"},
+		Balancers: 2,
+		Pools:     []emulator.Pool{{Name: "requests", Service: 1, Hosts: hosts, Slots: slots}},
+		Routes: []emulator.Route{
+			{Name: "feeds", Port: emulator.PortFeed, Pool: "requests", Class: class.Feed},
+			{Name: "short", Port: emulator.PortShort, Pool: "requests", Class: class.Short},
+			{Name: "long", Port: emulator.PortLong, Pool: "requests", Class: class.Long},
+		},
+		AgentArgs: append([]string{"--slow-start", "0s"}, agentArgs...),
+	}
+}
+
+// client sends requests on one flow, until the spec ends.
+type client struct {
+	e      *emulator.Emulator
+	caller *callers.Caller
+}
+
+func newClient(e *emulator.Emulator) *client {
+	GinkgoHelper()
+	caller, err := callers.New(e.File(certificates.AuthorityFile), "requests")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(caller.Close)
+	return &client{e: e, caller: caller}
+}
+
+func (c *client) do(request callers.Request) callers.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return c.doWithin(ctx, request)
+}
+
+func (c *client) doWithin(ctx context.Context, request callers.Request) callers.Result {
+	ports := map[class.Class]uint16{
+		class.Feed: emulator.PortFeed, class.Short: emulator.PortShort, class.Long: emulator.PortLong,
+	}
+	request.Address = c.e.Address(ports[request.Class])
+	return c.caller.Do(ctx, request)
+}
+
+// begin sends a request and returns the channel of its result.
+func (c *client) begin(request callers.Request) <-chan callers.Result {
+	results := make(chan callers.Result, 1)
+	go func() { results <- c.do(request) }()
+	return results
+}
+
+func short(id string, work time.Duration) callers.Request {
+	return callers.Request{ID: id, Class: class.Short, Work: work, Body: []byte("dedication")}
+}
+
+// run returns what the first target says of its runs of a request.
+func run(e *emulator.Emulator, id string) target.Run {
+	GinkgoHelper()
+	return runAt(e, 0, id)
+}
+
+// runAt returns what target i says of its runs of a request.
+func runAt(e *emulator.Emulator, i int, id string) target.Run {
+	GinkgoHelper()
+	answer, err := http.Get(e.TargetURL(i) + target.PathRuns)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = answer.Body.Close() }()
+	var list []target.Run
+	Expect(json.NewDecoder(answer.Body).Decode(&list)).To(Succeed())
+	for _, r := range list {
+		if r.Request == id {
+			return r
+		}
+	}
+	return target.Run{Request: id}
+}
+
+// setTarget replaces the faults of the first target.
+func setTarget(e *emulator.Emulator, faults target.Faults) {
+	GinkgoHelper()
+	text, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(emulator.SetFaults(e.TargetURL(0)+target.PathFaults, string(text))).To(Succeed())
+}
+
+// countLog returns how many lines of a process's log contain all the given texts.
+func countLog(p *emulator.Process, texts ...string) int {
+	GinkgoHelper()
+	log, err := os.ReadFile(p.LogFile())
+	Expect(err).NotTo(HaveOccurred())
+	count := 0
+	for line := range strings.Lines(string(log)) {
+		isMatch := true
+		for _, text := range texts {
+			isMatch = isMatch && strings.Contains(line, text)
+		}
+		if isMatch {
+			count++
+		}
+	}
+	return count
+}
--- a/integration/requests_test.go
+++ b/integration/requests_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -14,115 +11,10 @@
 	. "github.com/onsi/gomega"
 
 	"gentianswitch/internal/class"
-	"gentianswitch/internal/emulator"
 	"gentianswitch/internal/standin/callers"
-	"gentianswitch/internal/standin/certificates"
 	"gentianswitch/internal/standin/target"
 )
 
-// onePool is a deployment whose routes of all classes lead to one pool.
-func onePool(hosts, slots int, agentArgs ...string) emulator.Deployment {
-	return emulator.Deployment{
-		Name:      "one-pool",
-		Zones:     []string{"quito", "ambato", "cuenca"},
-		Balancers: 2,
-		Pools:     []emulator.Pool{{Name: "requests", Service: 1, Hosts: hosts, Slots: slots}},
-		Routes: []emulator.Route{
-			{Name: "feeds", Port: emulator.PortFeed, Pool: "requests", Class: class.Feed},
-			{Name: "short", Port: emulator.PortShort, Pool: "requests", Class: class.Short},
-			{Name: "long", Port: emulator.PortLong, Pool: "requests", Class: class.Long},
-		},
-		AgentArgs: append([]string{"--slow-start", "0s"}, agentArgs...),
-	}
-}
-
-// client sends requests on one flow, until the spec ends.
-type client struct {
-	e      *emulator.Emulator
-	caller *callers.Caller
-}
-
-func newClient(e *emulator.Emulator) *client {
-	GinkgoHelper()
-	caller, err := callers.New(e.File(certificates.AuthorityFile), "requests")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(caller.Close)
-	return &client{e: e, caller: caller}
-}
-
-func (c *client) do(request callers.Request) callers.Result {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	return c.doWithin(ctx, request)
-}
-
-func (c *client) doWithin(ctx context.Context, request callers.Request) callers.Result {
-	ports := map[class.Class]uint16{
-		class.Feed: emulator.PortFeed, class.Short: emulator.PortShort, class.Long: emulator.PortLong,
-	}
-	request.Address = c.e.Address(ports[request.Class])
-	return c.caller.Do(ctx, request)
-}
-
-// begin sends a request and returns the channel of its result.
-func (c *client) begin(request callers.Request) <-chan callers.Result {
-	results := make(chan callers.Result, 1)
-	go func() { results <- c.do(request) }()
-	return results
-}
-
-func short(id string, work time.Duration) callers.Request {
-	return callers.Request{ID: id, Class: class.Short, Work: work, Body: []byte("dedication")}
-}
-
-// run returns what the first target says of its runs of a request.
-func run(e *emulator.Emulator, id string) target.Run {
-	GinkgoHelper()
-	return runAt(e, 0, id)
-}
-
-// runAt returns what target i says of its runs of a request.
-func runAt(e *emulator.Emulator, i int, id string) target.Run {
-	GinkgoHelper()
-	answer, err := http.Get(e.TargetURL(i) + target.PathRuns)
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = answer.Body.Close() }()
-	var list []target.Run
-	Expect(json.NewDecoder(answer.Body).Decode(&list)).To(Succeed())
-	for _, r := range list {
-		if r.Request == id {
-			return r
-		}
-	}
-	return target.Run{Request: id}
-}
-
-// setTarget replaces the faults of the first target.
-func setTarget(e *emulator.Emulator, faults target.Faults) {
-	GinkgoHelper()
-	text, err := json.Marshal(faults)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(emulator.SetFaults(e.TargetURL(0)+target.PathFaults, string(text))).To(Succeed())
-}
-
-// countLog returns how many lines of a process's log contain all the given texts.
-func countLog(p *emulator.Process, texts ...string) int {
-	GinkgoHelper()
-	log, err := os.ReadFile(p.LogFile())
-	Expect(err).NotTo(HaveOccurred())
-	count := 0
-	for line := range strings.Lines(string(log)) {
-		isMatch := true
-		for _, text := range texts {
-			isMatch = isMatch && strings.Contains(line, text)
-		}
-		if isMatch {
-			count++
-		}
-	}
-	return count
-}
-
 var _ = Describe("The outcome of a request", func() {
 	It("is not run when the target takes no connection", func() {
 		e := start(onePool(1, 2))
@@ -261,43 +153,6 @@
 	})
 })
 
-var _ = Describe("Short work", func() {
-	It("does not wait behind long work, which leaves the reserve free", func() {
-		e := start(onePool(1, 2))
-		c := newClient(e)
-		var uploads []<-chan callers.Result
-		for i := range 3 {
-			uploads = append(uploads, c.begin(callers.Request{
-				ID: fmt.Sprint("upload-", i), Class: class.Long, Work: 3 * time.Second, Body: make([]byte, 50_000),
-			}))
-		}
-		Eventually(func() int { return run(e, "upload-0").Count + run(e, "upload-1").Count + run(e, "upload-2").Count },
-			openLimitRequests).Should(Equal(1))
-		for i := range 10 {
-			Expect(c.do(short(fmt.Sprint(i), time.Millisecond)).Outcome).To(Equal(callers.Done))
-		}
-		for _, u := range uploads {
-			Expect(u).NotTo(Receive(), "ten short requests end before the first upload")
-		}
-		for _, u := range uploads {
-			Expect((<-u).Outcome).To(Equal(callers.Done))
-		}
-	})
-})
-
-// keyed returns a request with a fresh key and waits until the agents of the pool can vouch for keys of that time.
-func keyed(e *emulator.Emulator, id string, work time.Duration) callers.Request {
-	GinkgoHelper()
-	request := short(id, work)
-	Eventually(func() callers.Outcome {
-		probe := short("probe-"+uuid.NewString(), 0)
-		probe.IdempotencyKey = uuid.Must(uuid.NewV7()).String()
-		return newClient(e).do(probe).Outcome
-	}, openLimitRequests, 200*time.Millisecond).Should(Equal(callers.Done))
-	request.IdempotencyKey = uuid.Must(uuid.NewV7()).String()
-	return request
-}
-
 var _ = Describe("An idempotency key", func() {
 	It("runs once when its caller repeats it on another flow and meets another agent", func() {
 		e := start(onePool(2, 2))
@@ -334,70 +189,3 @@
 		Expect(runAt(e, 0, "notice").Count + runAt(e, 1, "notice").Count).To(BeZero())
 	})
 })
-
-var _ = Describe("A request that finds every slot taken", func() {
-	It("is relayed to a peer agent with room, before any byte reached a target", func() {
-		e := start(onePool(2, 1))
-		c := newClient(e)
-		Eventually(func() int {
-			done := []<-chan callers.Result{c.begin(short("one", time.Second)), c.begin(short("two", time.Second))}
-			for _, d := range done {
-				Expect((<-d).Outcome).To(Equal(callers.Done))
-			}
-			return countLog(e.Agents[0], "request relayed") + countLog(e.Agents[1], "request relayed")
-		}, openLimitRequests).Should(BeNumerically(">", 0))
-	})
-})
-
-var _ = Describe("A request beyond a bound", func() {
-	It("is refused with 413 when its body is too large, and is not run", func() {
-		e := start(onePool(1, 2, "--body-limit", "1000"))
-		request := short("a", 0)
-		request.Body = make([]byte, 1001)
-		r := newClient(e).do(request)
-		Expect(r.Status).To(Equal(http.StatusRequestEntityTooLarge), "%+v", r)
-		Expect(r.Outcome).To(Equal(callers.NotRun))
-		Expect(run(e, "a").Count).To(BeZero())
-	})
-
-	It("is refused with 431 when its headers are too large", func() {
-		e := start(onePool(1, 2))
-		r := newClient(e).do(short(strings.Repeat("x", 20_000), 0))
-		Expect(r.Status).To(Equal(http.StatusRequestHeaderFieldsTooLarge), "%+v", r)
-	})
-})
-
-var _ = Describe("A target that fails while it says it is healthy", func() {
-	for name, faults := range map[string]target.Faults{
-		"answers with errors":        {FailShort: true},
-		"accepts and never answers":  {Hang: true},
-		"cuts connections after run": {CutAfterRun: true},
-	} {
-		It("is ejected when it "+name, func() {
-			e := start(onePool(2, 3))
-			setTarget(e, faults)
-			for i := range 200 {
-				request := short(fmt.Sprint(i), 0)
-				request.Deadline = 300 * time.Millisecond
-				newClient(e).do(request)
-				if countLog(e.Agents[0], "flow handed on", "target ejected") > 0 {
-					break
-				}
-			}
-			Expect(countLog(e.Agents[0], "health changed", "ejected")).To(BeNumerically(">", 0))
-			Expect(countLog(e.Agents[0], "flow handed on", "target ejected")).To(BeNumerically(">", 0))
-			Expect(countLog(e.Agents[1], "health changed")).To(BeZero())
-		})
-	}
-
-	It("is kept when only its health and load endpoints fail", func() {
-		e := start(onePool(1, 3))
-		setTarget(e, target.Faults{IsUnhealthy: true, Load: 1})
-		c := newClient(e)
-		end := time.Now().Add(4 * time.Second)
-		for i := 0; time.Now().Before(end); i++ {
-			Expect(c.do(short(fmt.Sprint(i), 100*time.Millisecond)).Outcome).To(Equal(callers.Done))
-		}
-		Expect(countLog(e.Agents[0], "health changed")).To(BeZero())
-	})
-})
