--- a/integration/examples_test.go
+++ b/integration/examples_test.go
@@ -48,6 +48,10 @@
 			operator := filepath.Join("..", "examples", name, "gentianctl.yaml")
 			tables := filepath.Join("..", "examples", name, "tables.yaml")
 			expectSuccess("gentianctl", "validate", "--settings", operator, "--file", tables)
+			expectSuccess("gentianctl", "status", "--settings", operator, "--check",
+				"--certificate", filepath.Join(dir, certificates.CertificateFile),
+				"--certificate-key", filepath.Join(dir, certificates.KeyFile),
+				"--authority", filepath.Join(dir, certificates.AuthorityFile))
 		})
 	}
 })
--- a/internal/balancer/membership.go
+++ b/internal/balancer/membership.go
@@ -44,8 +44,8 @@
 	agents   map[netip.AddrPort]*session
 	agentOf  map[*session]netip.AddrPort
 	peers    *peers
-	// colleagues tells agents of others of the same service.
-	colleagues *colleagues
+	// servicePeers tells agents of others of the same service.
+	servicePeers *servicePeers
 	// policyTold is the revision of the policy that each agent was told last.
 	policyTold map[*session]uint64
 	// repliedAt is when the agents were last told that this balancer lives.
@@ -59,14 +59,14 @@
 		Incarnation: uint64(now.UnixMicro()), State: member.Ready,
 	}
 	return &membership{
-		balancer:   b,
-		machine:    member.New(member.Settings{Self: self, Detection: b.settings.Detection, Seed: self.Incarnation}),
-		arrivals:   ring.New[arrival](arrivalCapacity),
-		agents:     make(map[netip.AddrPort]*session),
-		agentOf:    make(map[*session]netip.AddrPort),
-		policyTold: make(map[*session]uint64),
-		peers:      newPeers(b, self),
-		colleagues: newColleagues(),
+		balancer:     b,
+		machine:      member.New(member.Settings{Self: self, Detection: b.settings.Detection, Seed: self.Incarnation}),
+		arrivals:     ring.New[arrival](arrivalCapacity),
+		agents:       make(map[netip.AddrPort]*session),
+		agentOf:      make(map[*session]netip.AddrPort),
+		policyTold:   make(map[*session]uint64),
+		peers:        newPeers(b, self),
+		servicePeers: newServicePeers(),
 	}
 }
 
@@ -124,7 +124,7 @@
 
 // end forgets a connection that has ended.
 func (m *membership) end(now time.Time, s *session) {
-	m.colleagues.forget(s)
+	m.servicePeers.forget(s)
 	delete(m.policyTold, s)
 	if agent, ok := m.agentOf[s]; ok {
 		delete(m.agentOf, s)
@@ -149,7 +149,7 @@
 		m.repliedAt = now
 		for agent, s := range m.agents {
 			s.send(control.Message{AnnounceReply: &control.AnnounceReply{
-				Peers: m.colleagues.news(agent, s, m.machine), Policy: m.newPolicy(agent, s),
+				Peers: m.servicePeers.news(agent, s, m.machine), Policy: m.newPolicy(agent, s),
 			}})
 		}
 	}
@@ -179,7 +179,7 @@
 	}
 	if len(changed) > 0 {
 		removed, added := netChanges(changed)
-		m.colleagues.update(removed, added)
+		m.servicePeers.update(removed, added)
 		m.balancer.updateTargets(removed, added)
 	}
 	if m.isChanged {
--- a/internal/balancer/colleagues.go
+++ b/internal/balancer/service_peers.go
@@ -11,8 +11,8 @@
 	"gentianswitch/internal/member"
 )
 
-// maxColleagues is the number of agents of its service that an agent is told of.
-const maxColleagues = 16
+// maxServicePeers is the number of agents of its service that an agent is told of.
+const maxServicePeers = 16
 
 // serviceAgents are the agents of one service whose targets are ready.
 type serviceAgents struct {
@@ -28,19 +28,19 @@
 	version uint64
 }
 
-// colleagues tells agents which agents of the same service are ready, so that they can relay requests. It belongs to
+// servicePeers tells agents which agents of the same service are ready, so that they can relay requests. It belongs to
 // the membership duty and holds only the services of the agents for which this balancer is a home.
-type colleagues struct {
+type servicePeers struct {
 	services map[uint16]*serviceAgents
 	told     map[*session]toldVersion
 }
 
-func newColleagues() *colleagues {
-	return &colleagues{services: make(map[uint16]*serviceAgents), told: make(map[*session]toldVersion)}
+func newServicePeers() *servicePeers {
+	return &servicePeers{services: make(map[uint16]*serviceAgents), told: make(map[*session]toldVersion)}
 }
 
 // update takes the records that have left the view and those that have come in their place.
-func (c *colleagues) update(removed, added []member.Target) {
+func (c *servicePeers) update(removed, added []member.Target) {
 	for _, t := range removed {
 		if s := c.services[t.Service]; s != nil {
 			delete(s.controls, t.Agent)
@@ -56,7 +56,7 @@
 }
 
 // forget forgets a connection that has ended, and its service when no other connection is of that.
-func (c *colleagues) forget(s *session) {
+func (c *servicePeers) forget(s *session) {
 	ended, isTold := c.told[s]
 	if !isTold {
 		return
@@ -71,7 +71,7 @@
 }
 
 // serviceAgents returns the ready agents of a service. The first time they are taken from the view.
-func (c *colleagues) serviceAgents(service uint16, machine *member.Machine) *serviceAgents {
+func (c *servicePeers) serviceAgents(service uint16, machine *member.Machine) *serviceAgents {
 	if known := c.services[service]; known != nil {
 		return known
 	}
@@ -83,8 +83,8 @@
 	return s
 }
 
-// news returns the colleagues of an agent, or nil when they have not changed since it was told on the connection.
-func (c *colleagues) news(agent netip.AddrPort, s *session, machine *member.Machine) *control.PeerList {
+// news returns the agents of the same service, or nil when they have not changed since it was told on the connection.
+func (c *servicePeers) news(agent netip.AddrPort, s *session, machine *member.Machine) *control.PeerList {
 	target, isKnown := machine.Target(agent)
 	if !isKnown {
 		return nil
@@ -101,9 +101,9 @@
 	return &control.PeerList{Controls: c.pick(agent, agents)}
 }
 
-// pick returns the colleagues with the highest rendezvous scores for the agent, so that the agents of a large service
+// pick returns the agents with the highest rendezvous scores for the agent, so that the agents of a large service
 // are told of different ones and every home of an agent tells the same.
-func (c *colleagues) pick(agent netip.AddrPort, s *serviceAgents) []netip.AddrPort {
+func (c *servicePeers) pick(agent netip.AddrPort, s *serviceAgents) []netip.AddrPort {
 	type scored struct {
 		control netip.AddrPort
 		score   uint64
@@ -115,7 +115,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	list = list[:min(len(list), maxColleagues)]
+	list = list[:min(len(list), maxServicePeers)]
 	controls := make([]netip.AddrPort, len(list))
 	for i, l := range list {
 		controls[i] = l.control
