Tell an agent once that a balancer leaves

Cause, found by the counters of the stop test: a balancer that stops answered each datagram that agents still sent with a Leave envelope, each a batch of its own in the ring towards the agents. 40 answers and 40 callers' datagrams are 80 batches in a ring of 64, so up to 16 datagrams that had been read were dropped (dropped_ring_full 14 to 16). Ruled out: the kernel (no drops), strays from other processes (nothing was read from the sockets).

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -74,6 +74,7 @@
 	outbound  *ring.Ring[*batch]
 	counters  counters
 	isLeaving atomic.Bool
+	leaveTold leaveTold
 	group     *duty.Group
 }
 
@@ -95,6 +96,7 @@
 		outbound:    ring.New[*batch](ringBatches),
 		toCallers:   ring.New[*batch](ringBatches),
 		counters:    newCounters(scope),
+		leaveTold:   make(leaveTold),
 	}
 	b.listeners = newListeners(settings.BindIP)
 	b.membership = newMembership(b, time.Now())
--- a/internal/balancer/stop.go
+++ b/internal/balancer/stop.go
@@ -30,14 +30,33 @@
 	return b.settings.Data
 }
 
+// leaveInterval is the time between two answers that tell one agent that this balancer leaves.
+const leaveInterval = retireDuration / 3
+
+// leaveTold holds when each agent was last told that this balancer leaves. It belongs to the return duty.
+type leaveTold map[netip.AddrPort]time.Time
+
+// isDue reports whether an agent must be told now, and notes that it is.
+func (l leaveTold) isDue(now time.Time, agent netip.AddrPort) bool {
+	if now.Sub(l[agent]) < leaveInterval {
+		return false
+	}
+	l[agent] = now
+	return true
+}
+
 // answerLeave tells the agents that sent a batch of answers that this balancer leaves. Agents beyond those that get
-// its heartbeats know it from what it delivered.
+// its heartbeats know it from what it delivered. An agent is told once for many answers, so that callers' datagrams
+// keep their room in the ring.
 func (b *Balancer) answerLeave(received *batch) {
 	header := envelope.Header{Kind: envelope.Leave, Balancer: b.settings.Data}
 	out := b.takeBatch()
 	out.source = b.fabric
+	now := time.Now()
 	for i := range received.count {
-		out.add(envelope.Seal(out.next(), b.keys.Load(), header, nil), received.sender(i))
+		if agent := received.sender(i); b.leaveTold.isDue(now, agent) {
+			out.add(envelope.Seal(out.next(), b.keys.Load(), header, nil), agent)
+		}
 	}
 	b.put(b.toAgents, out)
 }
--- a/internal/balancer/stop_test.go
+++ b/internal/balancer/stop_test.go
@@ -74,6 +74,31 @@
 	}
 }
 
+// TestAnswersToABalancerThatLeavesTakeNoRoomFromCallers checks that an agent is told of the leave once for many answers:
+// one envelope for each of them filled the ring that callers' datagrams pass.
+func TestAnswersToABalancerThatLeavesTakeNoRoomFromCallers(t *testing.T) {
+	set, err := keys.NewSet([]keys.Key{{ID: 1}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := New(Settings{Data: freeAddress(t)}, set, nil, nil, events.NewDiscardLogger(), tally.NoopScope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := openListener(freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer front.close()
+	b.listeners.add(front.bind, front)
+	fillOutbound(b, front, addressOfLoopback)
+	b.isLeaving.Store(true)
+	drain(b.outbound, b.returnBatch)
+	if n := b.toAgents.Len(); n != 1 {
+		t.Errorf("%d batches tell one agent of the leave, expected 1", n)
+	}
+}
+
 func fillInbound(t *testing.T, b *Balancer, front *listener, agent netip.AddrPort) {
 	t.Helper()
 	codec, err := connid.NewCodec(b.keys.Load())
