--- a/cmd/gentianctl/commands.go
+++ b/cmd/gentianctl/commands.go
@@ -109,19 +109,7 @@
 	f := newFlags("get")
 	return f.command("get", "", "print the tables of the newest revision",
 		"gentianctl get --store 10.0.0.5:4390 > tables.yaml",
-		func(ctx context.Context, _ []string) error {
-			o, err := f.operator(true, false)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, f.timeout)
-			defer cancel()
-			report, err := o.Get(ctx)
-			if err != nil {
-				return err
-			}
-			return f.finish(report, operator.ExitDone)
-		})
+		f.show(func(ctx context.Context, o *operator.Operator) (operator.Report, error) { return o.Get(ctx) }))
 }
 
 func historyCommand() *ffcli.Command {
@@ -129,19 +117,9 @@
 	limit := f.set.Int("limit", defaultHistory, "`number` of changes to show")
 	return f.command("history", "[--limit NUMBER]", "list the last accepted changes, the newest first",
 		"gentianctl history --store 10.0.0.5:4390 --limit 5",
-		func(ctx context.Context, _ []string) error {
-			o, err := f.operator(true, false)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, f.timeout)
-			defer cancel()
-			report, err := o.History(ctx, *limit)
-			if err != nil {
-				return err
-			}
-			return f.finish(report, operator.ExitDone)
-		})
+		f.show(func(ctx context.Context, o *operator.Operator) (operator.Report, error) {
+			return o.History(ctx, *limit)
+		}))
 }
 
 func statusCommand() *ffcli.Command {
--- a/cmd/gentianctl/flags.go
+++ b/cmd/gentianctl/flags.go
@@ -105,6 +105,25 @@
 	return operator.New(store.NewHTTP(f.store), f.balancers, credentials), nil
 }
 
+// show returns the body of a command that reads the store and writes a report.
+func (f *flags) show(
+	read func(ctx context.Context, o *operator.Operator) (operator.Report, error),
+) func(context.Context, []string) error {
+	return func(ctx context.Context, _ []string) error {
+		o, err := f.operator(true, false)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, f.timeout)
+		defer cancel()
+		report, err := read(ctx, o)
+		if err != nil {
+			return err
+		}
+		return f.finish(report, operator.ExitDone)
+	}
+}
+
 // finish writes the report and turns the code into an error unless it is ExitDone.
 func (f *flags) finish(report operator.Report, code operator.ExitCode) error {
 	if err := operator.Write(os.Stdout, f.output, report); err != nil {
