--- /dev/null
+++ b/cmd/gentian-agent/opaque.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"net/netip"
+
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/metrics"
+	"gentianswitch/internal/opaque/sidecar"
+	"gentianswitch/internal/program"
+	"gentianswitch/internal/settings"
+	"gentianswitch/platform"
+)
+
+// opaqueCommand is the first argument that starts an agent of opaque flows on the users' platform.
+const opaqueCommand = "opaque"
+
+func opaqueService() program.Service {
+	var o opaqueOptions
+	return program.Service{
+		Name: name, Example: name + " " + opaqueCommand + " --settings agent.yaml",
+		MetricsPrefix: metrics.Agent, Define: o.define, Check: o.check, New: o.newProcess, WithoutPeers: true,
+	}
+}
+
+type opaqueOptions struct {
+	store, service             string
+	outbound, target, announce netip.AddrPort
+	peer                       netip.AddrPort
+}
+
+func (o *opaqueOptions) define(fs *flag.FlagSet) {
+	fs.StringVar(&o.store, "store", "", "`host:port` of the platform's metadata store")
+	fs.StringVar(&o.service, "service", "", "`name` of the service that the target runs")
+	settings.AddrPortVar(fs, &o.target, "target", "IPv4 `ip:port` at which the local target receives packets")
+	settings.AddrPortVar(fs, &o.outbound, "outbound", "IPv4 `ip:port` that receives the packets of the target")
+	settings.AddrPortVar(fs, &o.announce, "announce", "IPv4 `ip:port` that receives the heartbeats of the target")
+	settings.AddrPortVar(fs, &o.peer, "peer", "IPv4 `ip:port` whose port is that at which balancers receive frames")
+}
+
+func (o *opaqueOptions) check(common *settings.Common) error {
+	if o.store == "" {
+		return common.Missing("store", "host:port")
+	}
+	if o.service == "" {
+		return common.Missing("service", "the name of a service")
+	}
+	for _, a := range []struct {
+		name  string
+		value netip.AddrPort
+	}{{"target", o.target}, {"outbound", o.outbound}, {"announce", o.announce}, {"peer", o.peer}} {
+		if !a.value.IsValid() {
+			return common.Missing(a.name, "ip:port")
+		}
+	}
+	return nil
+}
+
+// opaqueProcess runs a sidecar, whose stop is never forced and which has no keys.
+type opaqueProcess struct{ *sidecar.Sidecar }
+
+// SetKeys implements program.Process.
+func (opaqueProcess) SetKeys(*keys.Set) error { return nil }
+
+// Run implements program.Process.
+func (p opaqueProcess) Run(graceful, _ context.Context) error { return p.Sidecar.Run(graceful) }
+
+func (o *opaqueOptions) newProcess(parts program.Parts) (program.Process, error) {
+	s := sidecar.Settings{
+		Data: parts.Common.Data, Outbound: o.outbound, Target: o.target, Announce: o.announce,
+		PeerPort: o.peer.Port(), Service: o.service,
+	}
+	return opaqueProcess{sidecar.New(s, sidecar.Parts{
+		Codec:           platform.Packets{},
+		Store:           platform.NewStore(o.store, metrics.StoreCalls(parts.Scope)),
+		AnnounceHandler: func(to sidecar.Announcements) http.Handler { return platform.HeartbeatHandler(to) },
+		Log:             parts.Log, Scope: parts.Scope,
+	})}, nil
+}
--- a/cmd/gentian-balancer/main.go
+++ b/cmd/gentian-balancer/main.go
@@ -21,6 +21,9 @@
 const name = "gentian-balancer"
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == opaqueCommand {
+		os.Exit(opaqueService().Main(os.Args[2:]))
+	}
 	var o options
 	service := program.Service{
 		Name: name, Example: name + " --settings examples/sierra/balancer-quito.yaml",
--- /dev/null
+++ b/cmd/gentian-balancer/opaque.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"gentianswitch/internal/keys"
+	"gentianswitch/internal/metrics"
+	"gentianswitch/internal/opaque/forwarder"
+	"gentianswitch/internal/program"
+	"gentianswitch/internal/settings"
+	"gentianswitch/platform"
+)
+
+// opaqueCommand is the first argument that starts a balancer of opaque flows on the users' platform.
+const opaqueCommand = "opaque"
+
+// defaultLinger is above the time in which routers notice that a balancer is not ready: two checks, 500 ms apart.
+const defaultLinger = 1500 * time.Millisecond
+
+func opaqueService() program.Service {
+	var o opaqueOptions
+	return program.Service{
+		Name: name, Example: name + " " + opaqueCommand + " --settings balancer.yaml",
+		MetricsPrefix: metrics.Balancer, Define: o.define, Check: o.check, New: o.newProcess, WithoutPeers: true,
+	}
+}
+
+type opaqueOptions struct {
+	store       string
+	peer, ready netip.AddrPort
+	linger      time.Duration
+}
+
+func (o *opaqueOptions) define(fs *flag.FlagSet) {
+	fs.StringVar(&o.store, "store", "", "`host:port` of the platform's metadata store")
+	settings.AddrPortVar(fs, &o.peer, "peer", "IPv4 `ip:port` that receives frames of agents")
+	settings.AddrPortVar(fs, &o.ready, "ready", "IPv4 `ip:port` at which routers ask whether the balancer is ready")
+	fs.DurationVar(&o.linger, "linger", defaultLinger, "`time` for which a balancer that stops goes on forwarding")
+}
+
+func (o *opaqueOptions) check(common *settings.Common) error {
+	switch {
+	case o.store == "":
+		return common.Missing("store", "host:port")
+	case !o.peer.IsValid():
+		return common.Missing("peer", "ip:port")
+	case !o.ready.IsValid():
+		return common.Missing("ready", "ip:port")
+	default:
+		return nil
+	}
+}
+
+// opaqueProcess runs a forwarder, whose stop is never forced and which has no keys.
+type opaqueProcess struct{ *forwarder.Forwarder }
+
+// SetKeys implements program.Process.
+func (opaqueProcess) SetKeys(*keys.Set) error { return nil }
+
+// Run implements program.Process.
+func (p opaqueProcess) Run(graceful, _ context.Context) error { return p.Forwarder.Run(graceful) }
+
+func (o *opaqueOptions) newProcess(parts program.Parts) (program.Process, error) {
+	s := forwarder.Settings{
+		Zone: parts.Common.Zone, Data: parts.Common.Data, Peer: o.peer, Ready: o.ready, Linger: o.linger,
+	}
+	return opaqueProcess{forwarder.New(s, forwarder.Parts{
+		Codec: platform.Packets{},
+		Store: platform.NewStore(o.store, metrics.StoreCalls(parts.Scope)),
+		Configuration: forwarder.Configuration{
+			Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
+		},
+		ReadyHandler: func(isReady func() bool) http.Handler { return platform.ReadyHandler(isReady) },
+		Log:          parts.Log, Scope: parts.Scope,
+	})}, nil
+}
--- /dev/null
+++ b/internal/metrics/store.go
@@ -0,0 +1,27 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// storeBuckets are the bounds of the latency histogram of calls to the store. A healthy store answers in 4 ms; a call
+// that waits for changes takes up to a few seconds.
+var storeBuckets = tally.DurationBuckets{
+	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond,
+	300 * time.Millisecond, time.Second, 3 * time.Second,
+}
+
+// StoreCalls returns a function that counts calls to the store by call and outcome, and their durations.
+func StoreCalls(scope tally.Scope) func(call string, err error, took time.Duration) {
+	return func(call string, err error, took time.Duration) {
+		outcome := "ok"
+		if err != nil {
+			outcome = "failed"
+		}
+		tagged := scope.Tagged(map[string]string{"call": call, "outcome": outcome})
+		tagged.Counter("store_calls").Inc(1)
+		tagged.Histogram("store_latency", storeBuckets).RecordDuration(took)
+	}
+}
--- /dev/null
+++ b/internal/opaque/desired/desired.go
@@ -0,0 +1,60 @@
+// Package desired holds the desired state of opaque flows: the routes that operators have declared, in versions that
+// only rise.
+package desired
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianswitch/internal/opaque/flow"
+)
+
+// ServiceKey identifies a service between programs.
+type ServiceKey uint64
+
+// KeyOf returns the key of the service with the given name.
+func KeyOf(name string) ServiceKey { return ServiceKey(xxhash.Sum64String(name)) }
+
+// Share is the part of a route's new flows that a service takes.
+type Share struct {
+	Service ServiceKey
+	Name    string
+	Weight  float64
+}
+
+// Route leads the flows of one address to one or several services.
+type Route struct {
+	Name   string
+	Shares []Share
+	// Deadline is the time after which callers of the route give up.
+	Deadline time.Duration
+}
+
+// Table is one version of the routes. It is immutable.
+type Table struct {
+	// Version only rises.
+	Version uint64
+	routes  map[flow.Endpoint]*Route
+}
+
+// NewTable returns a table without routes.
+func NewTable(version uint64) *Table {
+	return &Table{Version: version, routes: make(map[flow.Endpoint]*Route)}
+}
+
+// Add adds a route while the table is built.
+func (t *Table) Add(address flow.Endpoint, route *Route) { t.routes[address] = route }
+
+// Route returns the route of an address, or nil.
+func (t *Table) Route(address flow.Endpoint) *Route { return t.routes[address] }
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return len(t.routes) }
+
+// Each calls visit for every route.
+func (t *Table) Each(visit func(address flow.Endpoint, route *Route)) {
+	for address, route := range t.routes {
+		visit(address, route)
+	}
+}
--- /dev/null
+++ b/internal/opaque/directory/directory.go
@@ -0,0 +1,195 @@
+// Package directory holds a balancer's view of the targets: what their entries say and whether their agents answer.
+// It is a pure state machine.
+package directory
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/store"
+)
+
+// Times of the reachability check.
+const (
+	// pingInterval is the time between two pings of an agent that answers. The agents of a small deployment get a few a
+	// second from all balancers together; docs/CAPACITY.md has the cost.
+	pingInterval = time.Second
+	// pongTimeout is far above the round trip within a region, which is 1 to 3 ms, and below the 200 ms after which
+	// callers repeat an opening packet.
+	pongTimeout = 150 * time.Millisecond
+	// suspectAfter is the number of unanswered pings in a row that make an agent suspect.
+	suspectAfter = 2
+	// deadAfter is the time without an answer after which an agent's flows count as lost. It is above the longest
+	// pauses of a process under load, and below the deadlines of callers.
+	deadAfter = 2 * time.Second
+)
+
+// Reachability is what a balancer believes of an agent.
+type Reachability uint8
+
+// The states of an agent.
+const (
+	// Reachable agents answer, or have not been asked long enough.
+	Reachable Reachability = iota
+	// Suspect agents have left pings unanswered. They are tried last.
+	Suspect
+	// Dead agents have not answered for so long that their flows count as lost.
+	Dead
+)
+
+// String returns the name that logs use.
+func (r Reachability) String() string {
+	return [...]string{"reachable", "suspect", "dead"}[r]
+}
+
+// Target is a target as the balancer knows it.
+type Target struct {
+	Agent    hop.IP
+	Entry    registry.Entry
+	Revision store.Version
+	State    Reachability
+
+	service   desired.ServiceKey
+	seed      uint64
+	nextPing  time.Time
+	askedAt   time.Time
+	isAsked   bool
+	missed    int
+	sequence  uint16
+	firstMiss time.Time
+}
+
+// Change is a new belief about a target, for the log.
+type Change struct {
+	Target Target
+	Reason string
+}
+
+// Ping is a ping that has to be sent.
+type Ping struct {
+	Agent    hop.IP
+	Sequence uint16
+}
+
+// Directory is the view of all targets.
+type Directory struct {
+	targets map[hop.IP]*Target
+	view    *View
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{targets: make(map[hop.IP]*Target), view: &View{}}
+}
+
+// View returns the current view. It is immutable.
+func (d *Directory) View() *View { return d.view }
+
+// Put takes an entry of the store. Older revisions than the known one change nothing.
+func (d *Directory) Put(now time.Time, agent hop.IP, e registry.Entry, revision store.Version) (Change, bool) {
+	known := d.targets[agent]
+	if known != nil && revision <= known.Revision {
+		return Change{}, false
+	}
+	if e.HasLeft {
+		return d.Remove(agent, revision)
+	}
+	if known == nil {
+		known = &Target{Agent: agent, seed: xxhash.Sum64(agent[:]), nextPing: now}
+		d.targets[agent] = known
+	}
+	known.Entry, known.Revision, known.service = e, revision, desired.KeyOf(e.Service)
+	d.compile()
+	return Change{Target: *known, Reason: "entry"}, true
+}
+
+// Remove takes the end of an entry at a revision.
+func (d *Directory) Remove(agent hop.IP, revision store.Version) (Change, bool) {
+	known := d.targets[agent]
+	if known == nil || revision <= known.Revision {
+		return Change{}, false
+	}
+	delete(d.targets, agent)
+	d.compile()
+	return Change{Target: *known, Reason: "left"}, true
+}
+
+// Retain removes every target whose agent is not listed, after a complete read of the store at a revision.
+func (d *Directory) Retain(listed map[hop.IP]struct{}, revision store.Version) []Change {
+	var changes []Change
+	for agent := range d.targets {
+		if _, ok := listed[agent]; ok {
+			continue
+		}
+		if change, ok := d.Remove(agent, revision); ok {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// Suspect asks an agent at once, since a packet sent to it seems to have been lost.
+func (d *Directory) Suspect(now time.Time, agent hop.IP) {
+	if t := d.targets[agent]; t != nil && !t.isAsked {
+		t.nextPing = now
+	}
+}
+
+// Pong takes the answer of an agent.
+func (d *Directory) Pong(now time.Time, agent hop.IP, sequence uint16) (Change, bool) {
+	t := d.targets[agent]
+	if t == nil || !t.isAsked && t.State == Reachable || t.sequence-sequence > suspectAfter {
+		return Change{}, false
+	}
+	t.isAsked, t.missed, t.nextPing = false, 0, now.Add(pingInterval)
+	if t.State == Reachable {
+		return Change{}, false
+	}
+	t.State = Reachable
+	d.compile()
+	return Change{Target: *t, Reason: "pong"}, true
+}
+
+// Tick counts pings that were not answered in time and returns the pings to send.
+func (d *Directory) Tick(now time.Time) (pings []Ping, changes []Change) {
+	for _, t := range d.targets {
+		if t.isAsked && now.Sub(t.askedAt) >= pongTimeout {
+			if change, ok := d.miss(now, t); ok {
+				changes = append(changes, change)
+			}
+		}
+		if t.isAsked || now.Before(t.nextPing) {
+			continue
+		}
+		t.sequence++
+		t.isAsked, t.askedAt = true, now
+		pings = append(pings, Ping{Agent: t.Agent, Sequence: t.sequence})
+	}
+	return pings, changes
+}
+
+func (d *Directory) miss(now time.Time, t *Target) (Change, bool) {
+	t.isAsked, t.nextPing = false, now
+	if t.missed == 0 {
+		t.firstMiss = t.askedAt
+	}
+	t.missed++
+	state := t.State
+	switch {
+	case now.Sub(t.firstMiss) >= deadAfter:
+		state = Dead
+		t.nextPing = now.Add(pingInterval)
+	case t.missed >= suspectAfter:
+		state = Suspect
+	}
+	if state == t.State {
+		return Change{}, false
+	}
+	t.State = state
+	d.compile()
+	return Change{Target: *t, Reason: "no pong"}, true
+}
--- /dev/null
+++ b/internal/opaque/directory/view.go
@@ -0,0 +1,97 @@
+package directory
+
+import (
+	"slices"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/rendezvous"
+)
+
+// View is an immutable state of the directory, arranged for decisions on packets.
+type View struct {
+	pools  map[desired.ServiceKey][]Candidate
+	agents map[hop.IP]Reachability
+}
+
+// Candidate is a target that a flow may be on.
+type Candidate struct {
+	Agent      hop.IP
+	Zone       string
+	Seed       uint64
+	Weight     float64
+	IsDraining bool
+	State      Reachability
+}
+
+// Pool returns the targets of a service, in an order without meaning.
+func (v *View) Pool(service desired.ServiceKey) []Candidate { return v.pools[service] }
+
+// IsUsable reports whether a packet may be sent to an agent: it is known and not dead.
+func (v *View) IsUsable(agent hop.IP) bool {
+	state, isKnown := v.agents[agent]
+	return isKnown && state != Dead
+}
+
+// Len returns the number of targets.
+func (v *View) Len() int { return len(v.agents) }
+
+func (d *Directory) compile() {
+	pools := make(map[desired.ServiceKey][]Candidate)
+	agents := make(map[hop.IP]Reachability, len(d.targets))
+	for _, t := range d.targets {
+		agents[t.Agent] = t.State
+		pools[t.service] = append(pools[t.service], Candidate{
+			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Weight: float64(max(t.Entry.Slots, 1)),
+			IsDraining: t.Entry.IsDraining, State: t.State,
+		})
+	}
+	d.view = &View{pools: pools, agents: agents}
+}
+
+// scored is a candidate and its place in the order for one flow.
+type scored struct {
+	agent hop.IP
+	score float64
+	tier  uint8
+}
+
+// Order appends to out the agents of a service in the order in which a flow is offered to them, without the first skip,
+// up to the capacity of out. It also returns how many there are in all. The order follows from the flow and the set of
+// targets alone, so that balancers with the same view agree. Targets that do not answer come last. A flow that opens is
+// not offered to targets that drain.
+func (v *View) Order(service desired.ServiceKey, flow uint64, opens bool, skip int, out []hop.IP) ([]hop.IP, int) {
+	pool := v.pools[service]
+	var buffer [orderBuffer]scored
+	order := buffer[:0]
+	for i := range pool {
+		c := &pool[i]
+		if c.State == Dead || opens && c.IsDraining {
+			continue
+		}
+		order = append(order, scored{
+			agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: uint8(c.State),
+		})
+	}
+	slices.SortFunc(order, compareScored)
+	for i := skip; i < len(order) && len(out) < cap(out); i++ {
+		out = append(out, order[i].agent)
+	}
+	return out, len(order)
+}
+
+// orderBuffer is the number of targets of a service up to which an order needs no allocation.
+const orderBuffer = 64
+
+func compareScored(a, b scored) int {
+	switch {
+	case a.tier != b.tier:
+		return int(a.tier) - int(b.tier)
+	case a.score > b.score:
+		return -1
+	case a.score < b.score:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/opaque/forwarder/forwarder.go
@@ -0,0 +1,148 @@
+// Package forwarder runs a balancer of opaque flows: the sockets and calls around the decisions of steer and directory.
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/duty"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/directory"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/steer"
+	"gentianswitch/internal/store"
+)
+
+// Settings are what a forwarder needs to know of its VM.
+type Settings struct {
+	Zone string
+	// Data receives callers' packets. Agents receive frames at the same port, and callers answers.
+	Data netip.AddrPort
+	// Peer receives frames of agents.
+	Peer netip.AddrPort
+	// Ready answers whether this balancer takes packets.
+	Ready netip.AddrPort
+	// Linger is the time for which a balancer that stops goes on forwarding after it has said that it is not ready.
+	Linger time.Duration
+}
+
+// Configuration tells where the routes are and how to read them.
+type Configuration struct {
+	Key    string
+	Decode func(raw []byte) (*desired.Table, error)
+}
+
+// Parts are the collaborators of a forwarder.
+type Parts struct {
+	Codec         flow.Codec
+	Store         store.Feed
+	Configuration Configuration
+	// ReadyHandler makes the handler that answers whether the balancer takes packets.
+	ReadyHandler func(isReady func() bool) http.Handler
+	Log          *events.Logger
+	Scope        tally.Scope
+}
+
+// Forwarder is a balancer of opaque flows.
+type Forwarder struct {
+	settings Settings
+	parts    Parts
+	self     hop.IP
+	data     *net.UDPConn
+	peer     *net.UDPConn
+	counters counters
+
+	// mu guards the decisions.
+	mu        sync.Mutex
+	steer     *steer.Steer
+	directory *directory.Directory
+	// listedAt is when the view was complete for the first time.
+	listedAt time.Time
+
+	isStopping atomic.Bool
+	isReady    atomic.Bool
+}
+
+// New returns a forwarder that does not run yet.
+func New(settings Settings, parts Parts) *Forwarder {
+	self := hop.IP(settings.Data.Addr().As4())
+	return &Forwarder{
+		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
+		steer: steer.New(self), directory: directory.New(),
+	}
+}
+
+// Run forwards packets until stopping ends, and for the linger time after it.
+func (f *Forwarder) Run(stopping context.Context) error {
+	if err := f.open(); err != nil {
+		return err
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	group := duty.NewGroup(ctx)
+	group.Go("receive", f.receiveAll)
+	group.Go("peers", f.receiveFrames)
+	group.Go("reachability", f.checkAll)
+	group.Go("follow", f.follow)
+	group.Go("readiness", f.serveReadiness)
+	group.Go("stop", func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-stopping.Done():
+			f.stop(ctx)
+			group.Stop()
+			f.close()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// stop tells the routers that this balancer leaves and goes on until they have noticed.
+func (f *Forwarder) stop(ctx context.Context) {
+	f.isStopping.Store(true)
+	f.parts.Log.Emit(events.ProcessStopping, events.F("signal", "term"))
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.settings.Linger):
+	}
+}
+
+func (f *Forwarder) open() error {
+	var err error
+	if f.data, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(f.settings.Data)); err != nil {
+		return eris.Wrapf(err, "listen for callers on %s", f.settings.Data)
+	}
+	if f.peer, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(f.settings.Peer)); err != nil {
+		return eris.Wrapf(err, "listen for agents on %s", f.settings.Peer)
+	}
+	return nil
+}
+
+func (f *Forwarder) close() {
+	_ = f.data.Close()
+	_ = f.peer.Close()
+}
+
+// serveReadiness answers the routers until ctx ends.
+func (f *Forwarder) serveReadiness(ctx context.Context) error {
+	handler := f.parts.ReadyHandler(func() bool { return f.isReady.Load() && !f.isStopping.Load() })
+	server := &http.Server{Addr: f.settings.Ready.String(), Handler: handler, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.ListenAndServe()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrapf(err, "serve readiness on %s", f.settings.Ready)
+}
--- /dev/null
+++ b/internal/opaque/forwarder/path.go
@@ -0,0 +1,176 @@
+package forwarder
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/socket"
+	"gentianswitch/internal/opaque/steer"
+)
+
+// settleTime is the time after the first complete view for which open flows are not reset: targets that have not
+// announced themselves again after a common loss of power get the chance to.
+const settleTime = time.Second
+
+// receiveAll forwards the packets of callers until ctx ends.
+func (f *Forwarder) receiveAll(ctx context.Context) error {
+	return socket.Receive(ctx, f.data, func(datagram []byte, _ netip.AddrPort) {
+		f.fromCaller(datagram)
+	})
+}
+
+func (f *Forwarder) fromCaller(datagram []byte) {
+	p, err := f.parts.Codec.Decode(datagram)
+	if err != nil {
+		f.counters.malformed.Inc(1)
+		return
+	}
+	now := time.Now()
+	f.mu.Lock()
+	d := f.steer.Decide(now, &p)
+	if p.Opens && p.Copies > 0 && d.Verdict == steer.Forward {
+		f.directory.Suspect(now, d.Agent)
+	}
+	f.mu.Unlock()
+	f.carryOut(&p, d, datagram)
+}
+
+func (f *Forwarder) carryOut(p *flow.Packet, d steer.Decision, datagram []byte) {
+	f.counters.verdict(d.Verdict).Inc(1)
+	switch d.Verdict {
+	case steer.Forward:
+		if p.Opens {
+			f.logPlaced(p, d)
+		}
+		f.send(d.Agent, d.Header.Append(datagram))
+	case steer.Reset:
+		f.reset(p, d)
+	case steer.Drop:
+		f.logDropped(p, d)
+	}
+}
+
+func (f *Forwarder) send(agent hop.IP, frame []byte) {
+	to := netip.AddrPortFrom(netip.AddrFrom4(agent), f.settings.Data.Port())
+	if _, err := f.peer.WriteToUDPAddrPort(frame, to); err != nil {
+		f.counters.sendFailed.Inc(1)
+	}
+}
+
+func (f *Forwarder) reset(p *flow.Packet, d steer.Decision) {
+	id := p.FromCaller()
+	f.parts.Log.Emit(events.OpaqueFlowReset, events.F("flow", id.String()), events.F("opens", p.Opens),
+		events.F("route", routeName(d)), events.F("reason", d.Reason.String()), events.F("configuration", f.version()),
+		events.F("targets", f.targets()))
+	var buffer [64]byte
+	f.answer(id, f.parts.Codec.AppendReset(buffer[:0], id, p.Acknowledged))
+}
+
+// answer sends a packet to a caller.
+func (f *Forwarder) answer(id flow.ID, packet []byte) {
+	to := netip.AddrPortFrom(netip.AddrFrom4(id.Caller.IP), f.settings.Data.Port())
+	if _, err := f.data.WriteToUDPAddrPort(packet, to); err != nil {
+		f.counters.sendFailed.Inc(1)
+	}
+}
+
+// receiveFrames takes the frames of agents until ctx ends.
+func (f *Forwarder) receiveFrames(ctx context.Context) error {
+	var header hop.Header
+	return socket.Receive(ctx, f.peer, func(datagram []byte, from netip.AddrPort) {
+		body, err := header.Decode(datagram)
+		if err != nil {
+			f.counters.malformed.Inc(1)
+			return
+		}
+		f.fromAgent(&header, body, hop.IP(from.Addr().Unmap().As4()))
+	})
+}
+
+func (f *Forwarder) fromAgent(h *hop.Header, body []byte, agent hop.IP) {
+	now := time.Now()
+	switch h.Kind {
+	case hop.Returned:
+		f.returned(now, h, body)
+	case hop.Located:
+		f.located(now, body, agent)
+	case hop.Pong:
+		f.mu.Lock()
+		change, hasChanged := f.directory.Pong(now, agent, h.Sequence)
+		f.refresh(hasChanged)
+		f.mu.Unlock()
+		if hasChanged {
+			f.logTarget(change)
+		}
+	default:
+		f.counters.malformed.Inc(1)
+	}
+}
+
+func (f *Forwarder) returned(now time.Time, h *hop.Header, datagram []byte) {
+	p, err := f.parts.Codec.Decode(datagram)
+	if err != nil {
+		f.counters.malformed.Inc(1)
+		return
+	}
+	f.mu.Lock()
+	isSettled := !f.listedAt.IsZero() && now.Sub(f.listedAt) > settleTime
+	d := f.steer.Returned(now, &p, int(h.Walked), isSettled)
+	f.mu.Unlock()
+	f.carryOut(&p, d, datagram)
+}
+
+func (f *Forwarder) located(now time.Time, body []byte, agent hop.IP) {
+	id, ok := flow.DecodeID(body)
+	if !ok {
+		f.counters.malformed.Inc(1)
+		return
+	}
+	f.mu.Lock()
+	f.steer.Locate(now, id, agent)
+	f.mu.Unlock()
+	f.parts.Log.Emit(events.OpaqueFlowLocated, events.F("flow", id.String()), events.F("agent", ipText(agent)))
+}
+
+// checkAll pings agents until ctx ends.
+func (f *Forwarder) checkAll(ctx context.Context) error {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			f.check(now)
+		}
+	}
+}
+
+// checkInterval is half of the shortest time that the reachability check has to keep.
+const checkInterval = 75 * time.Millisecond
+
+func (f *Forwarder) check(now time.Time) {
+	f.mu.Lock()
+	pings, changes := f.directory.Tick(now)
+	f.refresh(len(changes) > 0)
+	f.mu.Unlock()
+	for _, change := range changes {
+		f.logTarget(change)
+	}
+	var buffer [hop.MaxTrailer]byte
+	for _, ping := range pings {
+		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
+		f.send(ping.Agent, h.Append(buffer[:0]))
+	}
+}
+
+// refresh hands the view to the decisions. The caller holds mu.
+func (f *Forwarder) refresh(hasChanged bool) {
+	if hasChanged {
+		f.steer.SetView(f.directory.View())
+	}
+}
--- /dev/null
+++ b/internal/opaque/hop/hop.go
@@ -0,0 +1,107 @@
+// Package hop implements the frames that balancers and agents send each other about opaque flows. A frame is a UDP
+// datagram: a caller's datagram, or nothing, and behind it a trailer, so that the caller's bytes are not moved.
+package hop
+
+import (
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind is the kind of a frame.
+type Kind uint8
+
+// The kinds of frames.
+const (
+	// Forward carries a caller's datagram to an agent.
+	Forward Kind = iota + 1
+	// Returned carries a caller's datagram back to the balancer: every candidate has declined it.
+	Returned
+	// Located tells a balancer which agent holds a flow. Its body is the flow's ID.
+	Located
+	// Ping asks an agent whether it is reachable.
+	Ping
+	// Pong answers a Ping.
+	Pong
+)
+
+// MaxCandidates bounds the candidates of a frame, so that a full datagram and its trailer fit an Ethernet frame.
+const MaxCandidates = 8
+
+// Sizes of the trailer in bytes.
+const (
+	addressBytes = 4
+	// fixedBytes holds origin (4), service (8), attempt (2), walked (1), hops (1), candidates (1) and kind (1).
+	fixedBytes = 18
+	// MaxTrailer is the size of the largest trailer.
+	MaxTrailer = fixedBytes + MaxCandidates*addressBytes
+)
+
+// IP is an IPv4 address.
+type IP [addressBytes]byte
+
+// Header is the trailer of a frame.
+type Header struct {
+	Kind Kind
+	// Origin is the balancer that took the datagram from the caller, or that sent a Ping.
+	Origin IP
+	// Service identifies the service that the balancer chose. An agent of another service declines the datagram.
+	Service uint64
+	// Sequence pairs a Pong with its Ping.
+	Sequence uint16
+	// Walked counts the candidates that the flow was offered to before those in this frame.
+	Walked uint8
+	// Hops counts the agents that passed the frame on.
+	Hops uint8
+	// Count is the number of Candidates in use.
+	Count uint8
+	// Candidates are the agents that come next, in this order.
+	Candidates [MaxCandidates]IP
+}
+
+// ErrMalformed means that a datagram is no frame.
+var ErrMalformed = eris.New("malformed frame")
+
+// Append appends the trailer to frame.
+func (h *Header) Append(frame []byte) []byte {
+	for i := range h.Count {
+		frame = append(frame, h.Candidates[i][:]...)
+	}
+	frame = append(frame, h.Origin[:]...)
+	frame = binary.BigEndian.AppendUint64(frame, h.Service)
+	frame = binary.BigEndian.AppendUint16(frame, h.Sequence)
+	return append(frame, h.Walked, h.Hops, h.Count, byte(h.Kind))
+}
+
+// Decode reads the trailer of a frame into h and returns the body before it.
+func (h *Header) Decode(frame []byte) ([]byte, error) {
+	if len(frame) < fixedBytes {
+		return nil, ErrMalformed
+	}
+	body, fixed := frame[:len(frame)-fixedBytes], frame[len(frame)-fixedBytes:]
+	copy(h.Origin[:], fixed[0:4])
+	h.Service = binary.BigEndian.Uint64(fixed[4:12])
+	h.Sequence = binary.BigEndian.Uint16(fixed[12:14])
+	h.Walked, h.Hops, h.Count, h.Kind = fixed[14], fixed[15], fixed[16], Kind(fixed[17])
+	list := int(h.Count) * addressBytes
+	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Pong {
+		return nil, ErrMalformed
+	}
+	body, candidates := body[:len(body)-list], body[len(body)-list:]
+	for i := range int(h.Count) {
+		copy(h.Candidates[i][:], candidates[i*addressBytes:])
+	}
+	return body, nil
+}
+
+// Next removes the first candidate and returns it. It reports false when none is left.
+func (h *Header) Next() (IP, bool) {
+	if h.Count == 0 {
+		return IP{}, false
+	}
+	first := h.Candidates[0]
+	copy(h.Candidates[:], h.Candidates[1:h.Count])
+	h.Count--
+	h.Hops++
+	return first, true
+}
--- /dev/null
+++ b/internal/opaque/registry/entry.go
@@ -0,0 +1,62 @@
+// Package registry keeps the entries of targets in the platform's store: what an agent tells the balancers about its
+// target.
+package registry
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentianswitch/internal/opaque/hop"
+)
+
+// Prefix starts the key of every entry; the agent's address follows.
+const Prefix = "gentian/targets/"
+
+// Entry is what the store holds of one target. It has no lease: it outlives outages of the store and losses of power,
+// and balancers judge by themselves whether its agent is reachable.
+type Entry struct {
+	Service string `msgpack:"service"`
+	Zone    string `msgpack:"zone"`
+	// Slots is the number of requests that the target runs at once.
+	Slots int `msgpack:"slots"`
+	// IsDraining is set while the target leaves; it takes no new flows.
+	IsDraining bool `msgpack:"draining"`
+	// HasLeft is set when the target has ended by plan and holds no flow any more.
+	HasLeft bool `msgpack:"left"`
+}
+
+// Key returns the key of the entry of the agent at ip.
+func Key(ip hop.IP) string { return Prefix + netip.AddrFrom4(ip).String() }
+
+// AgentOf returns the address of the agent whose entry has the key.
+func AgentOf(key string) (hop.IP, error) {
+	ip, err := netip.ParseAddr(strings.TrimPrefix(key, Prefix))
+	if err != nil || !ip.Is4() {
+		return hop.IP{}, eris.Errorf("entry %q names no IPv4 address", key)
+	}
+	return ip.As4(), nil
+}
+
+// Encode returns the entry as the store holds it.
+func (e Entry) Encode() ([]byte, error) {
+	raw, err := msgpack.Marshal(&e)
+	return raw, eris.Wrap(err, "encode target entry")
+}
+
+// Decode reads an entry. An entry without a service or with impossible slots is an error.
+func Decode(raw []byte) (Entry, error) {
+	var e Entry
+	if err := msgpack.Unmarshal(raw, &e); err != nil {
+		return Entry{}, eris.Wrap(err, "decode target entry")
+	}
+	if e.Service == "" || e.Slots < 0 || e.Slots > maxSlots {
+		return Entry{}, eris.Errorf("target entry with service %q and %d slots", e.Service, e.Slots)
+	}
+	return e, nil
+}
+
+// maxSlots bounds the slots that an entry may claim: far above any target's, so that a corrupt one takes no share.
+const maxSlots = 1 << 16
--- /dev/null
+++ b/internal/opaque/resident/resident.go
@@ -0,0 +1,258 @@
+// Package resident decides at an agent what becomes of the packets of opaque flows of the target beside it. It is a pure
+// state machine: it holds no socket and no clock.
+package resident
+
+import (
+	"time"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+)
+
+// Verdict is what becomes of a packet.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Deliver gives the packet to the target with the mark.
+	Deliver Verdict = iota + 1
+	// PassOn sends the packet to the agent that is the next candidate.
+	PassOn
+	// GiveBack returns the packet to the balancer, since no candidate is left.
+	GiveBack
+	// Answer sends the target's packet to the caller.
+	Answer
+	// Drop discards the packet.
+	Drop
+)
+
+// String returns the name that metrics and logs use.
+func (v Verdict) String() string {
+	return [...]string{"invalid", "deliver", "pass_on", "give_back", "answer", "drop"}[v]
+}
+
+// Reason tells what a verdict rests on.
+type Reason uint8
+
+// The reasons.
+const (
+	Accepting Reason = iota
+	Held
+	OtherService
+	Draining
+	Absent
+	Silent
+	Bounced
+	Stale
+	OpenFlow
+)
+
+// String returns the name that metrics and logs use.
+func (r Reason) String() string {
+	return [...]string{
+		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "open_flow",
+	}[r]
+}
+
+// Decision is the outcome for one packet.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	// Mark goes with a delivered packet.
+	Mark uint32
+	// Next is the agent to pass the packet on to.
+	Next hop.IP
+	// Header goes with a packet that is passed on or given back.
+	Header hop.Header
+	// TellOrigin is set when the balancer that sent the packet has to learn that the flow is here.
+	TellOrigin bool
+}
+
+// Bounds of the flow table and of the marks.
+const (
+	// maxFlows is twice the connections that a target holds (2000), so that half-open flows have room as well.
+	maxFlows = 4096
+	// markSlots is the number of packets that can be at the target at once: far above 16 packets in flight on the few
+	// hundred flows that are active in the milliseconds until a target bounces a packet. A power of two.
+	markSlots = 4096
+	// idleLimit is above the 15 s after which idle flows may be discarded.
+	idleLimit = 20 * time.Second
+	// closedLimit is the time for which a finished flow is remembered: the longest retransmission interval of its ends.
+	closedLimit = 2 * time.Second
+	// hintInterval is the least time between two hints to balancers on one flow. A hint can be lost, and after a change
+	// of rotation another balancer needs it.
+	hintInterval = 100 * time.Millisecond
+)
+
+// held is a flow that the target has accepted.
+type held struct {
+	seen         time.Time
+	hinted       time.Time
+	acknowledged uint32
+	isOpen       bool
+	// finished holds one bit for each end that has sent its last data.
+	finished uint8
+}
+
+const (
+	callerFinished uint8 = 1 << iota
+	targetFinished
+)
+
+// mark is a packet that was delivered and may bounce.
+type mark struct {
+	sequence uint32
+	header   hop.Header
+}
+
+// Resident is the state of the decisions on one target.
+type Resident struct {
+	service desired.ServiceKey
+	target  target
+	flows   map[flow.ID]*held
+	marks   [markSlots]mark
+	// sequence numbers the delivered packets, from 1.
+	sequence uint32
+}
+
+// New returns the state beside a target that runs a service.
+func New(service desired.ServiceKey) *Resident {
+	return &Resident{service: service, flows: make(map[flow.ID]*held)}
+}
+
+// FromNode returns the decision for a caller's packet that a balancer or another agent sent.
+func (r *Resident) FromNode(now time.Time, p *flow.Packet, h *hop.Header) Decision {
+	if h.Service != uint64(r.service) {
+		return decline(h, OtherService)
+	}
+	id := p.FromCaller()
+	f := r.flows[id]
+	if f == nil && p.Opens {
+		if reason := r.target.refusal(now); reason != Accepting {
+			return decline(h, reason)
+		}
+		r.target.offered(now)
+	}
+	d := Decision{Verdict: Deliver, Mark: r.remember(h)}
+	if f != nil {
+		d.Reason = Held
+		d.TellOrigin = r.touch(now, id, f, p) && h.Hops > 0 && r.mayHint(now, f)
+	}
+	return d
+}
+
+// remember keeps the header of a delivered packet until the target may have bounced it.
+func (r *Resident) remember(h *hop.Header) uint32 {
+	r.sequence++
+	r.marks[r.sequence%markSlots] = mark{sequence: r.sequence, header: *h}
+	return r.sequence
+}
+
+// touch takes a packet of a caller for a flow that the target holds. It reports whether the flow is open here.
+func (r *Resident) touch(now time.Time, id flow.ID, f *held, p *flow.Packet) bool {
+	f.seen = now
+	switch {
+	case p.Resets:
+		delete(r.flows, id)
+		return false
+	case p.Opens:
+		return false
+	}
+	f.isOpen, f.acknowledged = true, p.Acknowledged
+	if p.Finishes {
+		f.finished |= callerFinished
+	}
+	return true
+}
+
+func (r *Resident) mayHint(now time.Time, f *held) bool {
+	if now.Sub(f.hinted) < hintInterval {
+		return false
+	}
+	f.hinted = now
+	return true
+}
+
+// FromTarget returns the decision for a packet that the target sent.
+func (r *Resident) FromTarget(now time.Time, p *flow.Packet) Decision {
+	r.target.heard(now)
+	if p.IsBounced {
+		return r.bounced(p)
+	}
+	id := p.FromTarget()
+	f := r.flows[id]
+	switch {
+	case p.Accepts && f == nil:
+		r.hold(now, id)
+	case p.Resets:
+		delete(r.flows, id)
+	case f != nil && p.Finishes:
+		f.finished |= targetFinished
+		f.seen = now
+	case f != nil:
+		f.seen = now
+	}
+	return Decision{Verdict: Answer}
+}
+
+func (r *Resident) hold(now time.Time, id flow.ID) {
+	if len(r.flows) < maxFlows {
+		r.flows[id] = &held{seen: now}
+	}
+}
+
+func (r *Resident) bounced(p *flow.Packet) Decision {
+	if !p.Opens {
+		delete(r.flows, p.FromCaller())
+	}
+	m := &r.marks[p.Mark%markSlots]
+	if p.Mark == 0 || m.sequence != p.Mark {
+		return Decision{Verdict: Drop, Reason: Stale}
+	}
+	m.sequence = 0
+	return decline(&m.header, Bounced)
+}
+
+func decline(h *hop.Header, reason Reason) Decision {
+	d := Decision{Verdict: PassOn, Reason: reason, Header: *h}
+	next, ok := d.Header.Next()
+	if !ok {
+		d.Verdict, d.Header.Kind = GiveBack, hop.Returned
+		return d
+	}
+	d.Next = next
+	return d
+}
+
+// Ended is a flow that ended with its target.
+type Ended struct {
+	ID flow.ID
+	// Acknowledged is a sequence number that the caller accepts in a reset.
+	Acknowledged uint32
+}
+
+// Sweep forgets flows that have ended or gone idle.
+func (r *Resident) Sweep(now time.Time) {
+	for id, f := range r.flows {
+		idle := now.Sub(f.seen)
+		if idle > idleLimit || f.finished == callerFinished|targetFinished && idle > closedLimit {
+			delete(r.flows, id)
+		}
+	}
+}
+
+// Flows returns the number of flows that the target holds.
+func (r *Resident) Flows() int { return len(r.flows) }
+
+// lost returns the open flows that ended with the former incarnation of the target, and forgets all.
+func (r *Resident) lost() []Ended {
+	var ended []Ended
+	for id, f := range r.flows {
+		if f.isOpen && f.finished&targetFinished == 0 {
+			ended = append(ended, Ended{ID: id, Acknowledged: f.acknowledged})
+		}
+	}
+	clear(r.flows)
+	return ended
+}
--- /dev/null
+++ b/internal/opaque/resident/target.go
@@ -0,0 +1,125 @@
+package resident
+
+import (
+	"time"
+
+	"gentianswitch/internal/opaque/registry"
+)
+
+// Times that tell whether the target lives.
+const (
+	// acceptLimit is the time in which a target answers an opening packet. A healthy one needs under 1 ms; callers
+	// repeat the packet after 200 ms, and that copy has to find another target.
+	acceptLimit = 80 * time.Millisecond
+	// retryInterval is the time after which a target that has been silent is offered a flow again.
+	retryInterval = 300 * time.Millisecond
+)
+
+// Heartbeat is what a target says of itself.
+type Heartbeat struct {
+	// Instance identifies the target; Started tells its incarnations under one instance apart.
+	Instance string
+	Started  int64
+	// Sequence rises with each heartbeat of an incarnation.
+	Sequence   int64
+	Service    string
+	Zone       string
+	Slots      int
+	IsDraining bool
+}
+
+// target is what the agent believes of the target beside it.
+type target struct {
+	last Heartbeat
+	// isKnown is set once a heartbeat has been taken; hasLeft once the target has said that it ends.
+	isKnown, hasLeft bool
+	heardAt          time.Time
+	offeredAt        time.Time
+	// isWaiting is set while no packet of the target has followed an opening packet.
+	isWaiting bool
+}
+
+// refusal returns why the target is offered no new flow, or Accepting. An agent that has just started offers flows
+// before the first heartbeat: its target may have run all the time.
+func (t *target) refusal(now time.Time) Reason {
+	switch {
+	case t.hasLeft:
+		return Absent
+	case t.isKnown && t.last.IsDraining:
+		return Draining
+	case t.isWaiting && now.Sub(t.offeredAt) > acceptLimit && now.Sub(t.offeredAt) < retryInterval:
+		return Silent
+	default:
+		return Accepting
+	}
+}
+
+func (t *target) offered(now time.Time) {
+	if t.isWaiting && now.Sub(t.offeredAt) <= acceptLimit {
+		return
+	}
+	t.isWaiting, t.offeredAt = true, now
+}
+
+func (t *target) heard(now time.Time) {
+	t.isWaiting, t.heardAt = false, now
+}
+
+// Outcome is what a heartbeat has changed.
+type Outcome struct {
+	// IsStale is set for a heartbeat of an earlier incarnation, or one that a later one has overtaken.
+	IsStale bool
+	// HasChanged is set when the entry of the target has to be written anew.
+	HasChanged bool
+	// Ended are flows that ended with an earlier incarnation of the target.
+	Ended []Ended
+}
+
+// Heartbeat takes a heartbeat of the target.
+func (r *Resident) Heartbeat(now time.Time, h Heartbeat) Outcome {
+	t := &r.target
+	if t.isKnown && t.isStale(h) {
+		return Outcome{IsStale: true}
+	}
+	var ended []Ended
+	if t.isKnown && t.isNewIncarnation(h) {
+		ended = r.lost()
+	}
+	before := r.Entry()
+	t.last, t.isKnown, t.hasLeft = h, true, false
+	t.heard(now)
+	return Outcome{HasChanged: before != r.Entry(), Ended: ended}
+}
+
+func (t *target) isNewIncarnation(h Heartbeat) bool {
+	return h.Instance != t.last.Instance || h.Started != t.last.Started
+}
+
+func (t *target) isStale(h Heartbeat) bool {
+	if t.isNewIncarnation(h) {
+		return h.Started != 0 && h.Started < t.last.Started
+	}
+	return h.Sequence <= t.last.Sequence
+}
+
+// Leave takes the end of an instance, and reports whether it is that of the target.
+func (r *Resident) Leave(instance string) bool {
+	t := &r.target
+	if t.isKnown && t.last.Instance != instance {
+		return false
+	}
+	t.hasLeft = true
+	return true
+}
+
+// Entry returns what the store has to hold of the target, or the zero Entry before the first heartbeat.
+func (r *Resident) Entry() registry.Entry {
+	t := &r.target
+	if !t.isKnown {
+		return registry.Entry{}
+	}
+	return registry.Entry{
+		Service: t.last.Service, Zone: t.last.Zone, Slots: t.last.Slots,
+		IsDraining: t.last.IsDraining, HasLeft: t.hasLeft,
+	}
+}
--- /dev/null
+++ b/internal/opaque/sidecar/entry.go
@@ -0,0 +1,169 @@
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/opaque/resident"
+	"gentianswitch/internal/store"
+)
+
+// Heartbeat implements Announcements. What it has taken binds this agent at once; the store tells the others.
+func (s *Sidecar) Heartbeat(h resident.Heartbeat, address string) error {
+	if address != s.settings.Target.String() || h.Service != s.settings.Service {
+		return eris.Errorf("heartbeat of service %s at %s, expected %s at %s", h.Service, address, s.settings.Service, s.settings.Target)
+	}
+	s.mu.Lock()
+	outcome := s.resident.Heartbeat(time.Now(), h)
+	err := s.announce(outcome.HasChanged)
+	s.mu.Unlock()
+	if outcome.IsStale {
+		s.Malformed(h.Instance, eris.Errorf("sequence %d of the incarnation started at %d was overtaken", h.Sequence, h.Started))
+		return nil
+	}
+	if outcome.HasChanged {
+		s.parts.Log.Emit(events.TargetHeartbeat, events.F("instance", h.Instance), events.F("started", h.Started),
+			events.F("sequence", h.Sequence), events.F("service", h.Service), events.F("slots", h.Slots),
+			events.F("draining", h.IsDraining))
+	}
+	s.resetAll(h.Instance, outcome.Ended)
+	return err
+}
+
+// Leave implements Announcements.
+func (s *Sidecar) Leave(instance string) {
+	s.mu.Lock()
+	isTarget := s.resident.Leave(instance)
+	err := s.announce(isTarget)
+	s.mu.Unlock()
+	if err != nil {
+		s.Malformed(instance, err)
+	}
+	if isTarget {
+		s.parts.Log.Emit(events.TargetLeft, events.F("instance", instance))
+	}
+}
+
+// Malformed implements Announcements.
+func (s *Sidecar) Malformed(instance string, err error) {
+	s.parts.Log.Emit(events.TargetHeartbeatRefused, events.F("instance", instance), events.Err(err))
+}
+
+// announce gives the target's entry to the writer. The caller holds mu.
+func (s *Sidecar) announce(hasChanged bool) error {
+	if !hasChanged {
+		return nil
+	}
+	entry := s.resident.Entry()
+	if entry == (registry.Entry{}) {
+		return nil
+	}
+	value, err := entry.Encode()
+	if err != nil {
+		return err
+	}
+	s.writer.Want(value)
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// resetAll tells the callers of flows that ended with their target.
+func (s *Sidecar) resetAll(instance string, ended []resident.Ended) {
+	if len(ended) == 0 {
+		return
+	}
+	s.parts.Log.Emit(events.OpaqueFlowsLost, events.F("instance", instance), events.F("flows", len(ended)))
+	var buffer [64]byte
+	for _, e := range ended {
+		s.reset(buffer[:0], e)
+	}
+}
+
+func (s *Sidecar) reset(buffer []byte, e resident.Ended) {
+	packet := s.parts.Codec.AppendReset(buffer, e.ID, e.Acknowledged)
+	s.write(packet, callerAddress(e.ID, s.settings.Data.Port()))
+}
+
+func callerAddress(id flow.ID, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(id.Caller.IP), port)
+}
+
+// keepEntry brings the target's entry into the store until ctx ends.
+func (s *Sidecar) keepEntry(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		step, wait := s.writer.Next(time.Now())
+		value, revision := s.writer.Value()
+		s.mu.Unlock()
+		switch step {
+		case registry.Read:
+			s.readEntry(ctx)
+		case registry.Write:
+			s.writeEntry(ctx, value, revision)
+		case registry.Rest:
+			s.rest(ctx, wait)
+		}
+	}
+	return nil
+}
+
+// rest waits for a change of the entry, or for at most wait when it is not zero.
+func (s *Sidecar) rest(ctx context.Context, wait time.Duration) {
+	var due <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.changed:
+	case <-due:
+	}
+}
+
+func (s *Sidecar) readEntry(ctx context.Context) {
+	item, err := s.parts.Store.Read(ctx, registry.Key(s.self))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.writer.Found(item.Value, item.Version)
+	case eris.Is(err, store.ErrNotFound):
+		s.writer.Found(nil, 0)
+	default:
+		s.failed(err, "read entry")
+	}
+}
+
+func (s *Sidecar) writeEntry(ctx context.Context, value []byte, revision store.Version) {
+	item, err := s.parts.Store.Replace(ctx, registry.Key(s.self), revision, value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.writer.Written(item.Value, item.Version)
+		entry := s.resident.Entry()
+		s.parts.Log.Emit(events.EntryWritten, events.F("revision", item.Version),
+			events.F("draining", entry.IsDraining), events.F("left", entry.HasLeft))
+	case eris.Is(err, store.ErrConflict):
+		s.writer.Found(item.Value, item.Version)
+	default:
+		s.failed(err, "write entry")
+	}
+}
+
+// failed takes a call whose outcome is not known. The caller holds mu.
+func (s *Sidecar) failed(err error, step string) {
+	s.writer.Failed(time.Now())
+	s.parts.Log.Emit(events.StoreUnavailable, events.F("step", step), events.F("peer", "store"), events.Err(err))
+}
--- /dev/null
+++ b/internal/opaque/sidecar/path.go
@@ -0,0 +1,120 @@
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/resident"
+	"gentianswitch/internal/opaque/socket"
+)
+
+// receiveFrames takes the frames of balancers and agents until ctx ends.
+func (s *Sidecar) receiveFrames(ctx context.Context) error {
+	var header hop.Header
+	return socket.Receive(ctx, s.data, func(datagram []byte, from netip.AddrPort) {
+		body, err := header.Decode(datagram)
+		if err != nil {
+			s.counters.malformed.Inc(1)
+			return
+		}
+		switch header.Kind {
+		case hop.Forward:
+			s.fromNode(&header, body)
+		case hop.Ping:
+			s.pong(&header, from)
+		default:
+			s.counters.malformed.Inc(1)
+		}
+	})
+}
+
+func (s *Sidecar) pong(h *hop.Header, to netip.AddrPort) {
+	var buffer [hop.MaxTrailer]byte
+	answer := hop.Header{Kind: hop.Pong, Sequence: h.Sequence}
+	s.write(answer.Append(buffer[:0]), to)
+}
+
+func (s *Sidecar) fromNode(h *hop.Header, datagram []byte) {
+	p, err := s.parts.Codec.Decode(datagram)
+	if err != nil {
+		s.counters.malformed.Inc(1)
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	d := s.resident.FromNode(now, &p, h)
+	s.mu.Unlock()
+	if d.TellOrigin {
+		s.tell(h.Origin, p.FromCaller())
+	}
+	s.carryOut(&p, d, datagram)
+}
+
+// tell lets a balancer know that a flow is here.
+func (s *Sidecar) tell(origin hop.IP, id flow.ID) {
+	var buffer [hop.MaxTrailer]byte
+	h := hop.Header{Kind: hop.Located, Service: 0}
+	s.write(h.Append(id.AppendTo(buffer[:0])), s.balancer(origin))
+}
+
+func (s *Sidecar) balancer(ip hop.IP) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), s.settings.PeerPort)
+}
+
+// receiveFromTarget takes the packets of the target until ctx ends.
+func (s *Sidecar) receiveFromTarget(ctx context.Context) error {
+	return socket.Receive(ctx, s.outbound, func(datagram []byte, _ netip.AddrPort) {
+		p, err := s.parts.Codec.Decode(datagram)
+		if err != nil {
+			s.counters.malformed.Inc(1)
+			return
+		}
+		now := time.Now()
+		s.mu.Lock()
+		d := s.resident.FromTarget(now, &p)
+		s.mu.Unlock()
+		s.carryOut(&p, d, datagram)
+	})
+}
+
+func (s *Sidecar) carryOut(p *flow.Packet, d resident.Decision, datagram []byte) {
+	s.counters.verdict(d.Verdict).Inc(1)
+	switch d.Verdict {
+	case resident.Deliver:
+		s.parts.Codec.SetMark(datagram, d.Mark)
+		s.write(datagram, s.settings.Target)
+	case resident.Answer:
+		to := netip.AddrPortFrom(netip.AddrFrom4(p.Destination.IP), s.settings.Data.Port())
+		s.write(datagram, to)
+	case resident.PassOn:
+		s.logPassedOn(p, d)
+		s.parts.Codec.ClearMarks(datagram)
+		s.write(d.Header.Append(datagram), netip.AddrPortFrom(netip.AddrFrom4(d.Next), s.settings.Data.Port()))
+	case resident.GiveBack:
+		s.logPassedOn(p, d)
+		s.parts.Codec.ClearMarks(datagram)
+		s.write(d.Header.Append(datagram), s.balancer(d.Header.Origin))
+	}
+}
+
+func (s *Sidecar) write(datagram []byte, to netip.AddrPort) {
+	if _, err := s.data.WriteToUDPAddrPort(datagram, to); err != nil {
+		s.counters.sendFailed.Inc(1)
+	}
+}
+
+func (s *Sidecar) logPassedOn(p *flow.Packet, d resident.Decision) {
+	if !p.Opens {
+		return
+	}
+	next := ""
+	if d.Verdict == resident.PassOn {
+		next = netip.AddrFrom4(d.Next).String()
+	}
+	s.parts.Log.Emit(events.OpaqueFlowPassedOn, events.F("flow", p.FromCaller().String()), events.F("next", next),
+		events.F("reason", d.Reason.String()), events.F("hops", d.Header.Hops))
+}
--- /dev/null
+++ b/internal/opaque/sidecar/sidecar.go
@@ -0,0 +1,147 @@
+// Package sidecar runs the agent beside a target of opaque flows: the sockets and calls around the decisions of resident
+// and registry.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"gentianswitch/internal/duty"
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/opaque/resident"
+	"gentianswitch/internal/store"
+)
+
+// Settings are what an agent needs to know of its VM and its target.
+type Settings struct {
+	// Data receives frames of balancers and agents. Agents receive at the same port everywhere, and callers answers.
+	Data netip.AddrPort
+	// Outbound receives the packets of the target.
+	Outbound netip.AddrPort
+	// Target is where the target receives packets.
+	Target netip.AddrPort
+	// Announce receives the target's heartbeats.
+	Announce netip.AddrPort
+	// Peer is the port at which balancers receive frames.
+	PeerPort uint16
+	// Service is the name of the service that the target runs.
+	Service string
+}
+
+// Announcements takes what the target says of itself. The sidecar implements it.
+type Announcements interface {
+	// Heartbeat takes a heartbeat of the target at address. An error means that it names no target of this agent.
+	Heartbeat(h resident.Heartbeat, address string) error
+	// Leave takes the end of an instance.
+	Leave(instance string)
+	// Malformed takes a heartbeat that cannot be read.
+	Malformed(instance string, err error)
+}
+
+// Parts are the collaborators of an agent.
+type Parts struct {
+	Codec flow.Codec
+	Store store.Feed
+	// AnnounceHandler makes the handler of the target's heartbeats.
+	AnnounceHandler func(to Announcements) http.Handler
+	Log             *events.Logger
+	Scope           tally.Scope
+}
+
+// Sidecar is the agent beside a target of opaque flows.
+type Sidecar struct {
+	settings Settings
+	parts    Parts
+	self     hop.IP
+	data     *net.UDPConn
+	outbound *net.UDPConn
+	counters counters
+	// changed is signalled when the entry of the target has to be written.
+	changed chan struct{}
+
+	// mu guards the decisions.
+	mu       sync.Mutex
+	resident *resident.Resident
+	writer   registry.Writer
+}
+
+// New returns a sidecar that does not run yet.
+func New(settings Settings, parts Parts) *Sidecar {
+	return &Sidecar{
+		settings: settings, parts: parts, self: hop.IP(settings.Data.Addr().As4()), counters: newCounters(parts.Scope),
+		changed: make(chan struct{}, 1), resident: resident.New(desired.KeyOf(settings.Service)),
+	}
+}
+
+// Run serves until stopping ends. It does not wait then: its target may go on, and the next process takes over.
+func (s *Sidecar) Run(stopping context.Context) error {
+	if err := s.open(); err != nil {
+		return err
+	}
+	group := duty.NewGroup(stopping)
+	group.Go("receive", s.receiveFrames)
+	group.Go("outbound", s.receiveFromTarget)
+	group.Go("announcements", s.serveAnnouncements)
+	group.Go("entry", s.keepEntry)
+	group.Go("sweep", s.sweep)
+	group.Go("close", func(ctx context.Context) error {
+		<-ctx.Done()
+		_ = s.data.Close()
+		_ = s.outbound.Close()
+		return nil
+	})
+	return group.Wait()
+}
+
+func (s *Sidecar) open() error {
+	var err error
+	if s.data, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.settings.Data)); err != nil {
+		return eris.Wrapf(err, "listen for balancers on %s", s.settings.Data)
+	}
+	if s.outbound, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.settings.Outbound)); err != nil {
+		return eris.Wrapf(err, "listen for the target on %s", s.settings.Outbound)
+	}
+	return nil
+}
+
+func (s *Sidecar) serveAnnouncements(ctx context.Context) error {
+	server := &http.Server{
+		Addr: s.settings.Announce.String(), Handler: s.parts.AnnounceHandler(s), ReadHeaderTimeout: time.Second,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.ListenAndServe()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrapf(err, "serve heartbeats on %s", s.settings.Announce)
+}
+
+// sweepInterval is the time between two looks for flows that have ended, a fraction of the times that they are kept.
+const sweepInterval = time.Second
+
+func (s *Sidecar) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.mu.Lock()
+			s.resident.Sweep(now)
+			s.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/internal/opaque/socket/socket.go
@@ -0,0 +1,32 @@
+// Package socket receives the datagrams of opaque flows.
+package socket
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"gentianswitch/internal/opaque/hop"
+)
+
+// bufferBytes holds the largest datagram that an Ethernet frame carries.
+const bufferBytes = 1500
+
+// Take handles one datagram, which is valid until it returns. Behind the datagram there is room for a trailer.
+type Take func(datagram []byte, from netip.AddrPort)
+
+// Receive calls take for each datagram until ctx ends or the socket is closed.
+func Receive(ctx context.Context, socket *net.UDPConn, take Take) error {
+	buffer := make([]byte, bufferBytes+hop.MaxTrailer)
+	for {
+		size, from, err := socket.ReadFromUDPAddrPort(buffer[:bufferBytes])
+		switch {
+		case err == nil:
+			take(buffer[:size], from)
+		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
+			return nil
+		}
+		// Any other error reports that an earlier datagram found no receiver. Pings and heartbeats tell which one is gone.
+	}
+}
--- /dev/null
+++ b/internal/opaque/steer/steer.go
@@ -0,0 +1,269 @@
+// Package steer decides at a balancer what becomes of a caller's packet of an opaque flow. It is a pure state machine.
+// A balancer needs no state to carry a flow: it offers a packet to the candidates of the flow in an order that all
+// balancers share, and the agent whose target holds the flow keeps it.
+package steer
+
+import (
+	"time"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/directory"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/rendezvous"
+)
+
+// flowLifetime is the age at which the platform lets a flow be discarded (60 s). For so long a service that a route no
+// longer names may hold flows of the route.
+const flowLifetime = 60 * time.Second
+
+// Verdict is what becomes of a packet.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Forward sends the packet to the first candidate.
+	Forward Verdict = iota + 1
+	// Reset tells the caller that the flow is not served.
+	Reset
+	// Drop discards the packet.
+	Drop
+)
+
+// String returns the name that metrics and logs use.
+func (v Verdict) String() string { return [...]string{"invalid", "forward", "reset", "drop"}[v] }
+
+// Reason tells what a verdict rests on.
+type Reason uint8
+
+// The reasons.
+const (
+	Placed Reason = iota
+	Remembered
+	NoTable
+	NoRoute
+	NoTarget
+	Declined
+	Unsettled
+	LateReset
+)
+
+// String returns the name that metrics and logs use.
+func (r Reason) String() string {
+	return [...]string{
+		"candidates", "located", "no_configuration", "no_route", "no_target", "all_declined", "view_incomplete",
+		"reset_of_unknown_flow",
+	}[r]
+}
+
+// Decision is the outcome for one packet.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	// Agent is the agent to send to, for Forward.
+	Agent  hop.IP
+	Header hop.Header
+	// Route is the route of the flow, or nil.
+	Route *desired.Route
+}
+
+// former is a service that a route no longer names.
+type former struct {
+	service desired.ServiceKey
+	until   time.Time
+}
+
+// Steer is the state of the decisions.
+type Steer struct {
+	self    hop.IP
+	table   *desired.Table
+	view    *directory.View
+	formers map[flow.Endpoint][]former
+	located located
+	rotated time.Time
+}
+
+// New returns the state of the balancer at the address self.
+func New(self hop.IP) *Steer {
+	return &Steer{
+		self: self, view: directory.New().View(), formers: make(map[flow.Endpoint][]former), located: newLocated(),
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (s *Steer) Table() *desired.Table { return s.table }
+
+// SetView replaces the view of the targets.
+func (s *Steer) SetView(view *directory.View) { s.view = view }
+
+// Apply puts a configuration in force unless its version is not above the one in force.
+func (s *Steer) Apply(now time.Time, table *desired.Table) bool {
+	if s.table != nil && table.Version <= s.table.Version {
+		return false
+	}
+	if s.table != nil {
+		s.keepFormers(now, table)
+	}
+	s.table = table
+	return true
+}
+
+// keepFormers remembers the services that routes no longer name, since open flows stay where they are.
+func (s *Steer) keepFormers(now time.Time, next *desired.Table) {
+	s.table.Each(func(address flow.Endpoint, route *desired.Route) {
+		replacement := next.Route(address)
+		if replacement == nil {
+			delete(s.formers, address)
+			return
+		}
+		for _, share := range route.Shares {
+			if !names(replacement, share.Service) {
+				s.formers[address] = append(s.formers[address], former{share.Service, now.Add(flowLifetime)})
+			}
+		}
+	})
+}
+
+func names(route *desired.Route, service desired.ServiceKey) bool {
+	for i := range route.Shares {
+		if route.Shares[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Locate remembers that an agent holds a flow.
+func (s *Steer) Locate(now time.Time, id flow.ID, agent hop.IP) {
+	if now.Sub(s.rotated) > flowLifetime {
+		s.located.rotate()
+		s.rotated = now
+	}
+	s.located.put(id, agent)
+}
+
+// Decide returns the decision for a packet that a caller sent.
+func (s *Steer) Decide(now time.Time, p *flow.Packet) Decision {
+	id := p.FromCaller()
+	route, refusal := s.route(p, id)
+	if route == nil {
+		return refusal
+	}
+	d := Decision{Verdict: Forward, Route: route, Header: hop.Header{Kind: hop.Forward, Origin: s.self}}
+	agent, isLocated := s.located.get(id)
+	if isLocated && s.view.IsUsable(agent) {
+		d.Agent, d.Reason = agent, Remembered
+		s.fill(&d, now, id, p.Opens, 0)
+		return d
+	}
+	if !s.fill(&d, now, id, p.Opens, 0) {
+		return s.exhausted(p, d, true)
+	}
+	d.Agent, _ = d.Header.Next()
+	d.Header.Hops = 0
+	return d
+}
+
+// Returned returns the decision for a packet that every candidate so far has declined. The view is settled when this
+// balancer would know every target that can hold the flow.
+func (s *Steer) Returned(now time.Time, p *flow.Packet, walked int, isSettled bool) Decision {
+	id := p.FromCaller()
+	s.located.drop(id)
+	route, refusal := s.route(p, id)
+	if route == nil {
+		return refusal
+	}
+	d := Decision{Verdict: Forward, Route: route, Header: hop.Header{Kind: hop.Forward, Origin: s.self}}
+	if !s.fill(&d, now, id, p.Opens, walked) {
+		return s.exhausted(p, d, isSettled)
+	}
+	d.Agent, _ = d.Header.Next()
+	return d
+}
+
+func (s *Steer) route(p *flow.Packet, id flow.ID) (*desired.Route, Decision) {
+	if s.table == nil {
+		return nil, Decision{Verdict: Drop, Reason: NoTable}
+	}
+	if route := s.table.Route(id.Address); route != nil {
+		return route, Decision{}
+	}
+	if p.Resets {
+		return nil, Decision{Verdict: Drop, Reason: NoRoute}
+	}
+	return nil, Decision{Verdict: Reset, Reason: NoRoute}
+}
+
+// exhausted decides on a packet for which no candidate is left. A packet that opens a flow has not been accepted
+// anywhere, so its caller is told at once. An open flow is reset only when no target can hold it.
+func (s *Steer) exhausted(p *flow.Packet, d Decision, isSettled bool) Decision {
+	d.Verdict, d.Reason = Reset, Declined
+	switch {
+	case p.Resets:
+		d.Verdict, d.Reason = Drop, LateReset
+	case s.view.Len() == 0:
+		d.Reason = NoTarget
+	}
+	if !isSettled && !p.Opens && d.Verdict == Reset {
+		d.Verdict, d.Reason = Drop, Unsettled
+	}
+	return d
+}
+
+// fill puts the candidates after the first walked ones into the header. They are of one service, which the agents
+// compare with their own. It reports false when none is left.
+func (s *Steer) fill(d *Decision, now time.Time, id flow.ID, opens bool, walked int) bool {
+	hash := id.Hash()
+	var buffer [maxGroups]desired.ServiceKey
+	skipped := 0
+	for _, service := range s.groups(buffer[:0], now, d.Route, id, hash, opens) {
+		candidates, total := s.view.Order(service, hash, opens, walked-skipped, make([]hop.IP, 0, hop.MaxCandidates))
+		if len(candidates) == 0 {
+			skipped += total
+			continue
+		}
+		d.Header.Service = uint64(service)
+		d.Header.Count = uint8(copy(d.Header.Candidates[:], candidates))
+		d.Header.Walked = uint8(min(walked+len(candidates), maxWalked))
+		return true
+	}
+	return false
+}
+
+const (
+	// maxGroups is the number of services of a flow up to which the decision needs no allocation.
+	maxGroups = 8
+	// maxWalked is the largest number of candidates that a frame can count.
+	maxWalked = 255
+)
+
+// groups appends the services that may hold the flow: the one that new flows with this hash go to, then the route's
+// others, then for open flows those that the route named before.
+func (s *Steer) groups(
+	out []desired.ServiceKey, now time.Time, route *desired.Route, id flow.ID, hash uint64, opens bool,
+) []desired.ServiceKey {
+	best, top := 0, -1.0
+	for i := range route.Shares {
+		share := &route.Shares[i]
+		if score := rendezvous.Score(hash, uint64(share.Service), share.Weight); score > top {
+			best, top = i, score
+		}
+	}
+	if len(route.Shares) > 0 {
+		out = append(out, route.Shares[best].Service)
+	}
+	for i := range route.Shares {
+		if i != best && (!opens || route.Shares[i].Weight > 0) {
+			out = append(out, route.Shares[i].Service)
+		}
+	}
+	if opens {
+		return out
+	}
+	for _, f := range s.formers[id.Address] {
+		if now.Before(f.until) && !names(route, f.service) {
+			out = append(out, f.service)
+		}
+	}
+	return out
+}
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -45,11 +45,14 @@
 	Check func(common *settings.Common) error
 	// New returns the process, which does not run yet.
 	New func(parts Parts) (Process, error)
+	// WithoutPeers is set for a program that has no authenticated connections to peers: it needs no keys and
+	// certificates, and Parts hold none.
+	WithoutPeers bool
 }
 
 // Main reads the settings, runs the process and returns the exit code.
 func (s Service) Main(args []string) int {
-	var common settings.Common
+	common := settings.Common{WithoutPeers: s.WithoutPeers}
 	fs := flag.NewFlagSet(s.Name, flag.ContinueOnError)
 	common.Define(fs)
 	s.Define(fs)
@@ -79,9 +82,9 @@
 	if err := s.Check(common); err != nil {
 		return Parts{}, err
 	}
-	log, err := events.NewLogger(os.Stderr, common.LogFormat, common.LogLevel)
-	if err != nil {
-		return Parts{}, err
+	log, err := events.NewLogger(events.NewQueue(os.Stdout), common.LogFormat, common.LogLevel)
+	if err != nil || s.WithoutPeers {
+		return Parts{Common: common, Log: log}, err
 	}
 	set, credentials, err := common.Secrets()
 	return Parts{Common: common, Keys: set, Credentials: credentials, Log: log}, err
@@ -97,7 +100,7 @@
 	graceful, force := Stopping()
 	ended, end := context.WithCancel(force)
 	defer end()
-	OnHangup(ended, func() { reloadKeys(parts, process) })
+	OnHangup(ended, func() { s.reload(parts, process) })
 	go func() { _ = stats.Serve(ended, parts.Common.Metrics) }()
 	parts.Log.Emit(events.ProcessStarted, events.F("program", s.Name), events.F("version", Version),
 		events.F("zone", parts.Common.Zone))
@@ -109,6 +112,15 @@
 	return ExitOK
 }
 
+// reload takes a SIGHUP. A process without keys has nothing to read again: its settings name its place on the VM.
+func (s Service) reload(parts Parts, process Process) {
+	if s.WithoutPeers {
+		parts.Log.Emit(events.SettingsReloaded, events.Err(nil))
+		return
+	}
+	reloadKeys(parts, process)
+}
+
 // reloadKeys reads the key file again. Keys that do not load change nothing.
 func reloadKeys(parts Parts, process Process) {
 	set, err := keys.Load(parts.Common.KeysFile)
--- a/internal/route/group.go
+++ b/internal/route/group.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gentianswitch/internal/member"
+	"gentianswitch/internal/rendezvous"
 )
 
 // candidate is a ready target of a pool.
@@ -77,7 +78,7 @@
 	}
 	var top, next float64
 	for _, z := range g.zones {
-		s := score(flow, z.seed, z.weight)
+		s := rendezvous.Score(flow, z.seed, z.weight)
 		switch {
 		case best == nil || s > top:
 			best, other, top, next = z, best, s, top
@@ -93,9 +94,9 @@
 	if len(z.candidates) < 2 {
 		return netip.AddrPort{}
 	}
-	again := probes{state: flow}
+	again := rendezvous.Sequence{State: flow}
 	for range maxProbes {
-		if i := z.chooser.choose(again.next()); i != chosen {
+		if i := z.chooser.choose(again.Next()); i != chosen {
 			return z.candidates[i].agent
 		}
 	}
--- a/internal/route/index.go
+++ b/internal/route/index.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 
+	"gentianswitch/internal/rendezvous"
 	"gentianswitch/internal/tables"
 )
 
@@ -22,8 +23,8 @@
 
 func routeShard(address netip.AddrPort) uint8 {
 	ip := address.Addr().As4()
-	mixed := probes{state: uint64(ip[0])<<40 | uint64(ip[1])<<32 | uint64(ip[2])<<24 | uint64(ip[3])<<16 | uint64(address.Port())}
-	return uint8(mixed.next())
+	mixed := rendezvous.Sequence{State: uint64(ip[0])<<40 | uint64(ip[1])<<32 | uint64(ip[2])<<24 | uint64(ip[3])<<16 | uint64(address.Port())}
+	return uint8(mixed.Next())
 }
 
 func (x routeIndex) get(address netip.AddrPort) (entry, bool) {
--- a/internal/route/slots.go
+++ b/internal/route/slots.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/bits"
+
+	"gentianswitch/internal/rendezvous"
 )
 
 // Bounds of a slot table.
@@ -71,11 +73,11 @@
 // claim takes the first empty slots of the candidate's own sequence. Candidates claim in the order of their seeds, so
 // that every balancer builds the same layout.
 func (t *slotTable) claim(index uint32, c candidate, unit float64) {
-	sequence := probes{state: c.seed}
+	sequence := rendezvous.Sequence{State: c.seed}
 	for left := c.weight; left > 0; left -= unit {
-		at := sequence.next() & t.mask
+		at := sequence.Next() & t.mask
 		for t.slots[at].accept != 0 {
-			at = sequence.next() & t.mask
+			at = sequence.Next() & t.mask
 		}
 		share := math.Min(left/unit, 1)
 		t.slots[at] = slot{candidate: index, accept: uint32(math.Max(share*math.MaxUint32, 1))}
@@ -83,10 +85,10 @@
 }
 
 func (t *slotTable) choose(flow uint64) int {
-	sequence := probes{state: flow}
+	sequence := rendezvous.Sequence{State: flow}
 	at := uint64(0)
 	for range maxProbes {
-		draw := sequence.next()
+		draw := sequence.Next()
 		at = draw & t.mask
 		s := t.slots[at]
 		if uint32(draw>>32) < s.accept {
@@ -98,14 +100,3 @@
 	}
 	return int(t.slots[at].candidate)
 }
-
-// probes is a SplitMix64 sequence of pseudo-random numbers.
-type probes struct{ state uint64 }
-
-func (p *probes) next() uint64 {
-	p.state += 0x9e3779b97f4a7c15
-	z := p.state
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,23 +31,32 @@
 	File        string
 	IsCheckOnly bool
 	IsVersion   bool
+	// WithoutPeers leaves out what a process needs to speak to peers over authenticated connections: the control address,
+	// keys and certificates.
+	WithoutPeers bool
 }
 
 // Define adds the common settings to a flag set.
 func (c *Common) Define(fs *flag.FlagSet) {
 	fs.StringVar(&c.Zone, "zone", "", "availability zone of the VM")
 	AddrPortVar(fs, &c.Data, "data", "IPv4 `ip:port` of the datagram socket between balancers and agents")
-	AddrPortVar(fs, &c.Control, "control", "IPv4 `ip:port` of the control listener (TCP, mutual TLS)")
 	fs.StringVar(&c.Metrics, "metrics", "", "`ip:port` of the Prometheus endpoint; empty for none")
 	fs.StringVar(&c.LogFormat, "log-format", events.FormatJSON, "json or text")
 	fs.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warning or error")
+	fs.BoolVar(&c.IsCheckOnly, "check", false, "validate the settings and exit")
+	fs.BoolVar(&c.IsVersion, "version", false, "print the version and exit")
+	fs.StringVar(&c.File, fileFlag, "", "YAML `file` with settings; its fields have the names of the flags")
+	if !c.WithoutPeers {
+		c.definePeers(fs)
+	}
+}
+
+func (c *Common) definePeers(fs *flag.FlagSet) {
+	AddrPortVar(fs, &c.Control, "control", "IPv4 `ip:port` of the control listener (TCP, mutual TLS)")
 	fs.StringVar(&c.KeysFile, "keys", "", "YAML `file` with the keys of connection IDs and envelopes; read again on SIGHUP")
 	fs.StringVar(&c.Files.Certificate, "certificate", "", "PEM `file` with the certificate of this process")
 	fs.StringVar(&c.Files.Key, "certificate-key", "", "PEM `file` with the private key of the certificate")
 	fs.StringVar(&c.Files.Authority, "authority", "", "PEM `file` with the authority of all certificates")
-	fs.BoolVar(&c.IsCheckOnly, "check", false, "validate the settings and exit")
-	fs.BoolVar(&c.IsVersion, "version", false, "print the version and exit")
-	fs.StringVar(&c.File, fileFlag, "", "YAML `file` with settings; its fields have the names of the flags")
 }
 
 // Check reports the first common setting that is missing.
@@ -58,11 +67,11 @@
 	}{
 		{"zone", c.Zone != ""},
 		{"data", c.Data.IsValid()},
-		{"control", c.Control.IsValid()},
-		{"keys", c.KeysFile != ""},
-		{"certificate", c.Files.Certificate != ""},
-		{"certificate-key", c.Files.Key != ""},
-		{"authority", c.Files.Authority != ""},
+		{"control", c.WithoutPeers || c.Control.IsValid()},
+		{"keys", c.WithoutPeers || c.KeysFile != ""},
+		{"certificate", c.WithoutPeers || c.Files.Certificate != ""},
+		{"certificate-key", c.WithoutPeers || c.Files.Key != ""},
+		{"authority", c.WithoutPeers || c.Files.Authority != ""},
 	}
 	for _, r := range required {
 		if !r.isPresent {
