Reset flows that no target holds once the store confirms the targets

Cause: after a loss of power every open flow is dead; packets of them were dropped for a second after the first view, and callers waited for their deadline. Change: a packet that all candidates decline is held until the targets have been read anew, then reset; packets that arrive before the routes are known wait in the socket.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -19,6 +19,9 @@
 	OpaqueFlowsLost = define(214, logrus.WarnLevel, "opaque flows lost",
 		"The target has ended and started again; the callers of its open flows were told.",
 		"instance", "flows")
+	OpaquePacketsHeldLost = define(216, logrus.WarnLevel, "opaque packets given up",
+		"No candidate holds the flows of these packets, and the store could not confirm that no target does; nothing was reset.",
+		"packets", "error")
 	OpaquePacketLost = define(215, logrus.WarnLevel, "opaque packet dropped",
 		"A packet of an open flow was dropped, since no candidate holds the flow and the view of the targets is incomplete.",
 		"flow", "reason", "targets")
@@ -40,7 +43,7 @@
 		"The store holds the target's entry.", "revision", "draining", "left")
 
 	ConfigurationApplied = define(410, logrus.InfoLevel, "configuration applied",
-		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "revision", "source")
+		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "added", "removed", "moved", "revision", "source")
 	ConfigurationRefused = define(411, logrus.ErrorLevel, "configuration refused",
 		"A configuration cannot be read; the one in force stays.", "revision", "error")
 	ConfigurationIgnored = define(412, logrus.InfoLevel, "configuration ignored",
--- a/internal/opaque/desired/desired.go
+++ b/internal/opaque/desired/desired.go
@@ -58,3 +58,48 @@
 		visit(address, route)
 	}
 }
+
+// Difference counts what a version changes.
+type Difference struct {
+	Added, Removed int
+	// Moved counts routes that lead to other services than before.
+	Moved int
+}
+
+// Compare returns what next changes. A nil table has no routes.
+func (t *Table) Compare(next *Table) Difference {
+	if t == nil {
+		return Difference{Added: next.Len()}
+	}
+	var d Difference
+	t.Each(func(address flow.Endpoint, route *Route) {
+		replacement := next.Route(address)
+		switch {
+		case replacement == nil:
+			d.Removed++
+		case !route.hasServicesOf(replacement):
+			d.Moved++
+		}
+	})
+	d.Added = next.Len() - (t.Len() - d.Removed)
+	return d
+}
+
+// Names reports whether the route leads to a service.
+func (r *Route) Names(service ServiceKey) bool {
+	for i := range r.Shares {
+		if r.Shares[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Route) hasServicesOf(other *Route) bool {
+	for i := range r.Shares {
+		if !other.Names(r.Shares[i].Service) {
+			return false
+		}
+	}
+	return len(r.Shares) == len(other.Shares)
+}
--- /dev/null
+++ b/internal/opaque/forwarder/confirm.go
@@ -0,0 +1,65 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/registry"
+)
+
+const (
+	// maxHeld bounds the packets that wait for a confirmation: the flows of a few hundred callers, whose ends repeat
+	// what is lost, at 1.5 KB each.
+	maxHeld = 512
+	// confirmInterval is the least time between two reads, so that a burst of ended flows costs few calls. It is well
+	// below the 200 ms after which callers repeat packets.
+	confirmInterval = 50 * time.Millisecond
+)
+
+// heldPacket is a packet that walked candidates have declined.
+type heldPacket struct {
+	datagram []byte
+	walked   int
+}
+
+// hold keeps a copy of a packet until the targets have been read anew.
+func (f *Forwarder) hold(datagram []byte, walked int) {
+	f.held.TryPut(heldPacket{datagram: append([]byte(nil), datagram...), walked: walked})
+}
+
+// confirmAll reads the targets when packets are held and decides on these packets, until ctx ends.
+func (f *Forwarder) confirmAll(ctx context.Context) error {
+	for {
+		first, ok := f.held.Get(ctx)
+		if !ok {
+			return nil
+		}
+		waiting := []heldPacket{first}
+		for next, ok := f.held.TryGet(); ok; next, ok = f.held.TryGet() {
+			waiting = append(waiting, next)
+		}
+		f.confirm(ctx, waiting)
+		sleep(ctx, confirmInterval)
+	}
+}
+
+func (f *Forwarder) confirm(ctx context.Context, waiting []heldPacket) {
+	items, at, err := f.parts.Store.List(ctx, registry.Prefix)
+	if err != nil {
+		f.parts.Log.Emit(events.OpaquePacketsHeldLost, events.F("packets", len(waiting)), events.Err(err))
+		return
+	}
+	f.takeTargets(items, at)
+	for _, h := range waiting {
+		p, err := f.parts.Codec.Decode(h.datagram)
+		if err != nil {
+			f.counters.malformed.Inc(1)
+			continue
+		}
+		f.mu.Lock()
+		d := f.steer.Confirmed(time.Now(), &p, h.walked)
+		f.mu.Unlock()
+		f.carryOut(&p, d, h.datagram)
+	}
+}
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -102,9 +102,7 @@
 	f.mu.Lock()
 	changes := f.directory.Retain(listed, at)
 	f.steer.SetView(f.directory.View())
-	if f.listedAt.IsZero() {
-		f.listedAt = time.Now()
-	}
+	f.isListed = true
 	f.mu.Unlock()
 	for _, change := range changes {
 		f.logTarget(change)
@@ -150,8 +148,10 @@
 			events.F("known", known.Version), events.F("source", "store"))
 		return
 	}
+	difference := known.Compare(table)
 	f.parts.Log.Emit(events.ConfigurationApplied, events.F("configuration", table.Version),
-		events.F("routes", table.Len()), events.F("revision", item.Version), events.F("source", "store"))
+		events.F("routes", table.Len()), events.F("added", difference.Added), events.F("removed", difference.Removed),
+		events.F("moved", difference.Moved), events.F("revision", item.Version), events.F("source", "store"))
 }
 
 // takeEntry takes the entry of a target and returns its agent. It reports false for an entry that names no target.
@@ -198,11 +198,13 @@
 // updateReadiness makes the balancer ready once it holds routes and has listed the targets.
 func (f *Forwarder) updateReadiness() {
 	f.mu.Lock()
-	isReady := f.steer.Table() != nil && !f.listedAt.IsZero()
+	isReady := f.steer.Table() != nil && f.isListed
 	f.mu.Unlock()
-	if f.isReady.Swap(isReady) != isReady {
-		f.parts.Log.Emit(events.ReadinessChanged, events.F("ready", isReady), events.F("reason", "routes and targets read"))
+	if !isReady || f.isReady.Swap(true) {
+		return
 	}
+	close(f.informed)
+	f.parts.Log.Emit(events.ReadinessChanged, events.F("ready", true), events.F("reason", "routes and targets read"))
 }
 
 func (f *Forwarder) logTarget(change directory.Change) {
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/steer"
+	"gentianswitch/internal/ring"
 	"gentianswitch/internal/store"
 )
 
@@ -66,8 +67,13 @@
 	mu        sync.Mutex
 	steer     *steer.Steer
 	directory *directory.Directory
-	// listedAt is when the view was complete for the first time.
-	listedAt time.Time
+	// isListed is set once the targets have been read.
+	isListed bool
+
+	// informed is closed when the routes and the targets are known for the first time.
+	informed chan struct{}
+	// held are packets that wait for the confirmation that no target holds their flow.
+	held *ring.Ring[heldPacket]
 
 	isStopping atomic.Bool
 	isReady    atomic.Bool
@@ -79,6 +85,7 @@
 	return &Forwarder{
 		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
 		steer: steer.New(self), directory: directory.New(),
+		informed: make(chan struct{}), held: ring.New[heldPacket](maxHeld),
 	}
 }
 
@@ -94,6 +101,7 @@
 	group.Go("peers", f.receiveFrames)
 	group.Go("reachability", f.checkAll)
 	group.Go("follow", f.follow)
+	group.Go("confirm", f.confirmAll)
 	group.Go("readiness", f.serveReadiness)
 	group.Go("stop", func(ctx context.Context) error {
 		select {
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -12,12 +12,14 @@
 	"gentianswitch/internal/opaque/steer"
 )
 
-// settleTime is the time after the first complete view for which open flows are not reset: targets that have not
-// announced themselves again after a common loss of power get the chance to.
-const settleTime = time.Second
-
-// receiveAll forwards the packets of callers until ctx ends.
+// receiveAll forwards the packets of callers until ctx ends. Before the routes and targets are known, packets wait in the
+// buffer of the socket.
 func (f *Forwarder) receiveAll(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-f.informed:
+	}
 	return socket.Receive(ctx, f.data, func(datagram []byte, _ netip.AddrPort) {
 		f.fromCaller(datagram)
 	})
@@ -51,6 +53,8 @@
 		f.reset(p, d)
 	case steer.Drop:
 		f.logDropped(p, d)
+	case steer.Confirm:
+		f.hold(datagram, int(d.Header.Walked))
 	}
 }
 
@@ -118,9 +122,11 @@
 		return
 	}
 	f.mu.Lock()
-	isSettled := !f.listedAt.IsZero() && now.Sub(f.listedAt) > settleTime
-	d := f.steer.Returned(now, &p, int(h.Walked), isSettled)
+	d := f.steer.Returned(now, &p, int(h.Walked))
 	f.mu.Unlock()
+	if d.Verdict == steer.Confirm {
+		d.Header.Walked = h.Walked
+	}
 	f.carryOut(&p, d, datagram)
 }
 
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -28,10 +28,14 @@
 	Reset
 	// Drop discards the packet.
 	Drop
+	// Confirm holds the packet until the targets have been read from the store anew. Then Confirmed decides.
+	Confirm
 )
 
 // String returns the name that metrics and logs use.
-func (v Verdict) String() string { return [...]string{"invalid", "forward", "reset", "drop"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"invalid", "forward", "reset", "drop", "confirm"}[v]
+}
 
 // Reason tells what a verdict rests on.
 type Reason uint8
@@ -44,14 +48,13 @@
 	NoRoute
 	NoTarget
 	Declined
-	Unsettled
 	LateReset
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
-		"candidates", "located", "no_configuration", "no_route", "no_target", "all_declined", "view_incomplete",
+		"candidates", "located", "no_configuration", "no_route", "no_target", "all_declined",
 		"reset_of_unknown_flow",
 	}[r]
 }
@@ -117,22 +120,13 @@
 			return
 		}
 		for _, share := range route.Shares {
-			if !names(replacement, share.Service) {
+			if !replacement.Names(share.Service) {
 				s.formers[address] = append(s.formers[address], former{share.Service, now.Add(flowLifetime)})
 			}
 		}
 	})
 }
 
-func names(route *desired.Route, service desired.ServiceKey) bool {
-	for i := range route.Shares {
-		if route.Shares[i].Service == service {
-			return true
-		}
-	}
-	return false
-}
-
 // Locate remembers that an agent holds a flow.
 func (s *Steer) Locate(now time.Time, id flow.ID, agent hop.IP) {
 	if now.Sub(s.rotated) > flowLifetime {
@@ -157,16 +151,25 @@
 		return d
 	}
 	if !s.fill(&d, now, id, p.Opens, 0) {
-		return s.exhausted(p, d, true)
+		return s.exhausted(p, d, false)
 	}
 	d.Agent, _ = d.Header.Next()
 	d.Header.Hops = 0
 	return d
 }
 
-// Returned returns the decision for a packet that every candidate so far has declined. The view is settled when this
-// balancer would know every target that can hold the flow.
-func (s *Steer) Returned(now time.Time, p *flow.Packet, walked int, isSettled bool) Decision {
+// Returned returns the decision for a packet that the first walked candidates have declined.
+func (s *Steer) Returned(now time.Time, p *flow.Packet, walked int) Decision {
+	return s.goOn(now, p, walked, false)
+}
+
+// Confirmed returns the decision for a packet that the first walked candidates have declined, after the targets have
+// been read from the store. A flow is placed only on a target that the store knows, so the view holds its target.
+func (s *Steer) Confirmed(now time.Time, p *flow.Packet, walked int) Decision {
+	return s.goOn(now, p, walked, true)
+}
+
+func (s *Steer) goOn(now time.Time, p *flow.Packet, walked int, isConfirmed bool) Decision {
 	id := p.FromCaller()
 	s.located.drop(id)
 	route, refusal := s.route(p, id)
@@ -175,7 +178,7 @@
 	}
 	d := Decision{Verdict: Forward, Route: route, Header: hop.Header{Kind: hop.Forward, Origin: s.self}}
 	if !s.fill(&d, now, id, p.Opens, walked) {
-		return s.exhausted(p, d, isSettled)
+		return s.exhausted(p, d, isConfirmed)
 	}
 	d.Agent, _ = d.Header.Next()
 	return d
@@ -194,18 +197,18 @@
 	return nil, Decision{Verdict: Reset, Reason: NoRoute}
 }
 
-// exhausted decides on a packet for which no candidate is left. A packet that opens a flow has not been accepted
-// anywhere, so its caller is told at once. An open flow is reset only when no target can hold it.
-func (s *Steer) exhausted(p *flow.Packet, d Decision, isSettled bool) Decision {
+// exhausted decides on a packet for which no candidate is left. A packet that opens a flow has been accepted nowhere, so
+// its caller is told at once. An open flow is reset only when it is confirmed that no target can hold it.
+func (s *Steer) exhausted(p *flow.Packet, d Decision, isConfirmed bool) Decision {
 	d.Verdict, d.Reason = Reset, Declined
+	if s.view.Len() == 0 {
+		d.Reason = NoTarget
+	}
 	switch {
 	case p.Resets:
 		d.Verdict, d.Reason = Drop, LateReset
-	case s.view.Len() == 0:
-		d.Reason = NoTarget
-	}
-	if !isSettled && !p.Opens && d.Verdict == Reset {
-		d.Verdict, d.Reason = Drop, Unsettled
+	case !p.Opens && !isConfirmed:
+		d.Verdict = Confirm
 	}
 	return d
 }
@@ -261,7 +264,7 @@
 		return out
 	}
 	for _, f := range s.formers[id.Address] {
-		if now.Before(f.until) && !names(route, f.service) {
+		if now.Before(f.until) && !route.Names(f.service) {
 			out = append(out, f.service)
 		}
 	}
