--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -45,13 +45,13 @@
 	Silent
 	Bounced
 	Stale
-	Busy
+	OpenFlow
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
-		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy",
+		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "open_flow",
 	}[r]
 }
 
@@ -78,16 +78,8 @@
 	markSlots = 4096
 	// idleLimit is above the 15 s after which idle flows may be discarded.
 	idleLimit = 20 * time.Second
-	// waitLimit is the time after which a flow without packets no longer counts as waiting: its caller has left. Callers
-	// repeat unanswered packets at least every 1.6 s.
-	waitLimit = 2 * time.Second
 	// closedLimit is the time for which a finished flow is remembered: the longest retransmission interval of its ends.
 	closedLimit = 2 * time.Second
-	// busyFactor is the number of waiting flows for each slot from which a target is busy: as many requests wait as run.
-	busyFactor = 2
-	// maxBusyHops is the number of agents that may pass a flow on since they are busy. Three choices come close to the
-	// least busy target (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
-	maxBusyHops = 2
 	// hintInterval is the least time between two hints to balancers on one flow. A hint can be lost, and after a change
 	// of rotation another balancer needs it.
 	hintInterval = 100 * time.Millisecond
@@ -99,9 +91,6 @@
 	hinted       time.Time
 	acknowledged uint32
 	isOpen       bool
-	// isWaiting is set while the caller waits for the target: for its first answer after the handshake, or for the answer
-	// to the data that it has sent.
-	isWaiting bool
 	// finished holds one bit for each end that has sent its last data.
 	finished uint8
 }
@@ -125,8 +114,6 @@
 	marks   [markSlots]mark
 	// sequence numbers the delivered packets, from 1.
 	sequence uint32
-	// waiting is the number of flows whose isWaiting is set.
-	waiting int
 }
 
 // New returns the state beside a target that runs a service.
@@ -142,7 +129,7 @@
 	id := p.FromCaller()
 	f := r.flows[id]
 	if f == nil && p.Opens {
-		if reason := r.refusal(now, h); reason != Accepting {
+		if reason := r.target.refusal(now); reason != Accepting {
 			return decline(h, reason)
 		}
 		r.target.offered(now)
@@ -155,20 +142,6 @@
 	return d
 }
 
-// refusal returns why a flow is not offered to the target, or Accepting.
-func (r *Resident) refusal(now time.Time, h *hop.Header) Reason {
-	reason := r.target.refusal(now)
-	if reason == Accepting && h.Count > 0 && h.Hops < maxBusyHops && r.isBusy() {
-		return Busy
-	}
-	return reason
-}
-
-// isBusy reports whether a new request would wait for about as long as a request runs.
-func (r *Resident) isBusy() bool {
-	return r.target.isKnown && r.waiting >= busyFactor*max(r.target.last.Slots, 1)
-}
-
 // remember keeps the header of a delivered packet until the target may have bounced it.
 func (r *Resident) remember(h *hop.Header) uint32 {
 	r.sequence++
@@ -181,39 +154,18 @@
 	f.seen = now
 	switch {
 	case p.Resets:
-		r.forget(id, f)
+		delete(r.flows, id)
 		return false
 	case p.Opens:
 		return false
 	}
 	f.isOpen, f.acknowledged = true, p.Acknowledged
-	if p.Payload > 0 {
-		r.setWaiting(f, true)
-	}
 	if p.Finishes {
 		f.finished |= callerFinished
 	}
 	return true
 }
 
-func (r *Resident) setWaiting(f *held, isWaiting bool) {
-	if f.isWaiting == isWaiting {
-		return
-	}
-	f.isWaiting = isWaiting
-	if isWaiting {
-		r.waiting++
-	} else {
-		r.waiting--
-	}
-}
-
-// forget removes a flow.
-func (r *Resident) forget(id flow.ID, f *held) {
-	r.setWaiting(f, false)
-	delete(r.flows, id)
-}
-
 func (r *Resident) mayHint(now time.Time, f *held) bool {
 	if now.Sub(f.hinted) < hintInterval {
 		return false
@@ -233,36 +185,26 @@
 	switch {
 	case p.Accepts && f == nil:
 		r.hold(now, id)
-	case f == nil:
 	case p.Resets:
-		r.forget(id, f)
-	default:
-		r.answered(now, f, p)
-	}
-	return Decision{Verdict: Answer}
-}
-
-func (r *Resident) answered(now time.Time, f *held, p *flow.Packet) {
-	f.seen = now
-	if p.Payload > 0 || p.Finishes {
-		r.setWaiting(f, false)
-	}
-	if p.Finishes {
+		delete(r.flows, id)
+	case f != nil && p.Finishes:
 		f.finished |= targetFinished
+		f.seen = now
+	case f != nil:
+		f.seen = now
 	}
+	return Decision{Verdict: Answer}
 }
 
 func (r *Resident) hold(now time.Time, id flow.ID) {
 	if len(r.flows) < maxFlows {
-		f := &held{seen: now}
-		r.flows[id] = f
-		r.setWaiting(f, true)
+		r.flows[id] = &held{seen: now}
 	}
 }
 
 func (r *Resident) bounced(p *flow.Packet) Decision {
-	if f := r.flows[p.FromCaller()]; f != nil && !p.Opens {
-		r.forget(p.FromCaller(), f)
+	if !p.Opens {
+		delete(r.flows, p.FromCaller())
 	}
 	m := &r.marks[p.Mark%markSlots]
 	if p.Mark == 0 || m.sequence != p.Mark {
@@ -294,11 +236,8 @@
 func (r *Resident) Sweep(now time.Time) {
 	for id, f := range r.flows {
 		idle := now.Sub(f.seen)
-		switch {
-		case idle > idleLimit || f.finished == callerFinished|targetFinished && idle > closedLimit:
-			r.forget(id, f)
-		case idle > waitLimit:
-			r.setWaiting(f, false)
+		if idle > idleLimit || f.finished == callerFinished|targetFinished && idle > closedLimit {
+			delete(r.flows, id)
 		}
 	}
 }
@@ -315,6 +254,5 @@
 		}
 	}
 	clear(r.flows)
-	r.waiting = 0
 	return ended
 }
