--- a/cmd/gentian-balancer/opaque.go
+++ b/cmd/gentian-balancer/opaque.go
@@ -32,6 +32,7 @@
 type opaqueOptions struct {
 	store       string
 	peer, ready netip.AddrPort
+	seeds       []netip.AddrPort
 	linger      time.Duration
 }
 
@@ -39,6 +40,7 @@
 	fs.StringVar(&o.store, "store", "", "`host:port` of the platform's metadata store")
 	settings.AddrPortVar(fs, &o.peer, "peer", "IPv4 `ip:port` that receives frames of agents")
 	settings.AddrPortVar(fs, &o.ready, "ready", "IPv4 `ip:port` at which routers ask whether the balancer is ready")
+	settings.AddrPortsVar(fs, &o.seeds, "seeds", "addresses of balancers to ask while the store cannot be read; their ports are not used")
 	fs.DurationVar(&o.linger, "linger", defaultLinger, "`time` for which a balancer that stops goes on forwarding")
 }
 
@@ -66,7 +68,7 @@
 
 func (o *opaqueOptions) newProcess(parts program.Parts) (program.Process, error) {
 	s := forwarder.Settings{
-		Zone: parts.Common.Zone, Data: parts.Common.Data, Peer: o.peer, Ready: o.ready, Linger: o.linger,
+		Zone: parts.Common.Zone, Data: parts.Common.Data, Peer: o.peer, Ready: o.ready, Seeds: o.seeds, Linger: o.linger,
 	}
 	return opaqueProcess{forwarder.New(s, forwarder.Parts{
 		Codec: platform.Packets{},
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -49,6 +49,9 @@
 	ConfigurationIgnored = define(412, logrus.InfoLevel, "configuration ignored",
 		"A source holds a version that is not above the one in force.", "configuration", "known", "source")
 
+	HandoverFailed = define(413, logrus.WarnLevel, "handover failed",
+		"Another balancer could not be asked for the routes and targets that it knows.", "peer", "error")
+
 	ReadinessChanged = define(110, logrus.InfoLevel, "readiness changed",
 		"The balancer tells the routers whether it takes packets.", "ready", "reason")
 	LogLinesDropped = define(111, logrus.WarnLevel, "log lines dropped",
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -89,6 +89,15 @@
 // View returns the current view. It is immutable.
 func (d *Directory) View() *View { return d.view }
 
+// Targets returns every target, in an order without meaning.
+func (d *Directory) Targets() []Target {
+	all := make([]Target, 0, len(d.targets))
+	for _, t := range d.targets {
+		all = append(all, *t)
+	}
+	return all
+}
+
 // Put takes an entry of the store. Older revisions than the known one change nothing.
 func (d *Directory) Put(now time.Time, agent hop.IP, e registry.Entry, revision store.Version) (Change, bool) {
 	known := d.targets[agent]
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -17,13 +17,14 @@
 
 // Times of following the store.
 const (
-	// followWait is the time after which a call that waits for changes is renewed. Operators expect a change in force
-	// within 3 s, and a connection that has gone silent shows only when the call ends.
+	// followWait is the time after which a call that waits for changes is renewed. A store that compacts its history can
+	// leave a waiting call without an event, and operators expect a change in force within 3 s.
 	followWait = 2500 * time.Millisecond
-	// Waits between failed calls: short at first, since a restarted balancer is not ready without the store, and at most
-	// a second, so that an outage costs few calls.
-	firstRetry = 50 * time.Millisecond
-	lastRetry  = time.Second
+	// Waits between failed calls: short at first, and at most a second, so that an outage costs few calls. A balancer
+	// that knows no routes yet has callers waiting and tries more often.
+	firstRetry      = 50 * time.Millisecond
+	lastRetry       = time.Second
+	uninformedRetry = 120 * time.Millisecond
 )
 
 // everything is the prefix of all keys: one call waits for the routes and for the targets.
@@ -60,7 +61,11 @@
 			f.parts.Log.Emit(events.StoreUnavailable, events.F("step", "follow"), events.F("peer", "store"), events.Err(err))
 		}
 		isLost = true
-		sleep(ctx, retry.NextBackOff())
+		wait := retry.NextBackOff()
+		if !f.isReady.Load() {
+			wait = min(wait, uninformedRetry)
+		}
+		sleep(ctx, wait)
 	}
 	return nil
 }
@@ -82,7 +87,7 @@
 	configuration, err := f.parts.Store.Read(ctx, f.parts.Configuration.Key)
 	switch {
 	case err == nil:
-		f.takeConfiguration(configuration)
+		f.takeConfiguration(configuration, sourceStore)
 	case !eris.Is(err, store.ErrNotFound):
 		return 0, err
 	}
@@ -124,7 +129,7 @@
 func (f *Forwarder) takeChange(change store.Change) {
 	switch {
 	case change.Key == f.parts.Configuration.Key && !change.IsDeleted:
-		f.takeConfiguration(change.Item)
+		f.takeConfiguration(change.Item, sourceStore)
 	case !strings.HasPrefix(change.Key, registry.Prefix):
 	case change.IsDeleted:
 		f.removeEntry(change.Item)
@@ -133,7 +138,10 @@
 	}
 }
 
-func (f *Forwarder) takeConfiguration(item store.Item) {
+// sourceStore names the store as the source of a configuration in logs; another source is the address of a balancer.
+const sourceStore = "store"
+
+func (f *Forwarder) takeConfiguration(item store.Item, source string) {
 	table, err := f.parts.Configuration.Decode(item.Value)
 	if err != nil {
 		f.parts.Log.Emit(events.ConfigurationRefused, events.F("revision", item.Version), events.Err(err))
@@ -142,16 +150,19 @@
 	f.mu.Lock()
 	known := f.steer.Table()
 	isApplied := f.steer.Apply(time.Now(), table)
+	if isApplied {
+		f.document = item
+	}
 	f.mu.Unlock()
 	if !isApplied {
 		f.parts.Log.Emit(events.ConfigurationIgnored, events.F("configuration", table.Version),
-			events.F("known", known.Version), events.F("source", "store"))
+			events.F("known", known.Version), events.F("source", source))
 		return
 	}
 	difference := known.Compare(table)
 	f.parts.Log.Emit(events.ConfigurationApplied, events.F("configuration", table.Version),
 		events.F("routes", table.Len()), events.F("added", difference.Added), events.F("removed", difference.Removed),
-		events.F("moved", difference.Moved), events.F("revision", item.Version), events.F("source", "store"))
+		events.F("moved", difference.Moved), events.F("revision", item.Version), events.F("source", source))
 }
 
 // takeEntry takes the entry of a target and returns its agent. It reports false for an entry that names no target.
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/directory"
 	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/handover"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/steer"
 	"gentianswitch/internal/ring"
@@ -29,10 +30,12 @@
 	Zone string
 	// Data receives callers' packets. Agents receive frames at the same port, and callers answers.
 	Data netip.AddrPort
-	// Peer receives frames of agents.
+	// Peer receives frames of agents (UDP) and answers balancers that ask for the state of this one (TCP).
 	Peer netip.AddrPort
 	// Ready answers whether this balancer takes packets.
 	Ready netip.AddrPort
+	// Seeds are balancers that this one asks when it cannot read the store. Only their IPs are used.
+	Seeds []netip.AddrPort
 	// Linger is the time for which a balancer that stops goes on forwarding after it has said that it is not ready.
 	Linger time.Duration
 }
@@ -69,9 +72,13 @@
 	directory *directory.Directory
 	// isListed is set once the targets have been read.
 	isListed bool
+	// document is the configuration in force as the store held it.
+	document store.Item
 
 	// informed is closed when the routes and the targets are known for the first time.
 	informed chan struct{}
+	// ahead are balancers that hold a later configuration.
+	ahead *ring.Ring[hop.IP]
 	// held are packets that wait for the confirmation that no target holds their flow.
 	held *ring.Ring[heldPacket]
 
@@ -86,6 +93,7 @@
 		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
 		steer: steer.New(self), directory: directory.New(),
 		informed: make(chan struct{}), held: ring.New[heldPacket](maxHeld),
+		ahead: ring.New[hop.IP](1),
 	}
 }
 
@@ -103,6 +111,9 @@
 	group.Go("follow", f.follow)
 	group.Go("confirm", f.confirmAll)
 	group.Go("readiness", f.serveReadiness)
+	group.Go("seeds", f.askSeeds)
+	group.Go("catch up", f.catchUp)
+	group.Go("handover", func(ctx context.Context) error { return handover.Serve(ctx, f.settings.Peer, f.state) })
 	group.Go("stop", func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -103,18 +103,28 @@
 	case hop.Located:
 		f.located(now, body, agent)
 	case hop.Pong:
-		f.mu.Lock()
-		change, hasChanged := f.directory.Pong(now, agent, h.Sequence)
-		f.refresh(hasChanged)
-		f.mu.Unlock()
-		if hasChanged {
-			f.logTarget(change)
-		}
+		f.pong(now, h, body, agent)
 	default:
 		f.counters.malformed.Inc(1)
 	}
 }
 
+func (f *Forwarder) pong(now time.Time, h *hop.Header, body []byte, agent hop.IP) {
+	seen, err := hop.DecodeSighting(body)
+	if err != nil {
+		f.counters.malformed.Inc(1)
+		return
+	}
+	f.mu.Lock()
+	change, hasChanged := f.directory.Pong(now, agent, h.Sequence)
+	f.refresh(hasChanged)
+	f.mu.Unlock()
+	if hasChanged {
+		f.logTarget(change)
+	}
+	f.hasSeen(seen.Version, seen.Holder)
+}
+
 func (f *Forwarder) returned(now time.Time, h *hop.Header, datagram []byte) {
 	p, err := f.parts.Codec.Decode(datagram)
 	if err != nil {
@@ -168,9 +178,10 @@
 		f.logTarget(change)
 	}
 	var buffer [hop.MaxTrailer]byte
+	sighting := hop.Sighting{Version: f.version(), Holder: f.self}
 	for _, ping := range pings {
 		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
-		f.send(ping.Agent, h.Append(buffer[:0]))
+		f.send(ping.Agent, h.Append(sighting.Append(buffer[:0])))
 	}
 }
 
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -19,9 +19,9 @@
 	Returned
 	// Located tells a balancer which agent holds a flow. Its body is the flow's ID.
 	Located
-	// Ping asks an agent whether it is reachable.
+	// Ping asks an agent whether it is reachable. Its body is the Sighting of the balancer itself.
 	Ping
-	// Pong answers a Ping.
+	// Pong answers a Ping. Its body is the highest Sighting that the agent has taken.
 	Pong
 )
 
@@ -105,3 +105,27 @@
 	h.Hops++
 	return first, true
 }
+
+// Sighting tells that a balancer holds a version of the configuration.
+type Sighting struct {
+	Version uint64
+	Holder  IP
+}
+
+const sightingBytes = 8 + addressBytes
+
+// Append appends the encoded sighting to raw.
+func (s Sighting) Append(raw []byte) []byte {
+	raw = binary.BigEndian.AppendUint64(raw, s.Version)
+	return append(raw, s.Holder[:]...)
+}
+
+// DecodeSighting reads what Append wrote.
+func DecodeSighting(raw []byte) (Sighting, error) {
+	if len(raw) != sightingBytes {
+		return Sighting{}, ErrMalformed
+	}
+	s := Sighting{Version: binary.BigEndian.Uint64(raw)}
+	copy(s.Holder[:], raw[8:])
+	return s, nil
+}
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentianswitch/internal/frame"
 	"gentianswitch/internal/opaque/hop"
 )
 
@@ -49,7 +50,7 @@
 // Decode reads an entry. An entry without a service or with impossible slots is an error.
 func Decode(raw []byte) (Entry, error) {
 	var e Entry
-	if err := msgpack.Unmarshal(raw, &e); err != nil {
+	if err := frame.Decode(raw, &e); err != nil {
 		return Entry{}, eris.Wrap(err, "decode target entry")
 	}
 	if e.Service == "" || e.Slots < 0 || e.Slots > maxSlots {
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -70,6 +70,9 @@
 	// changed is signalled when the entry of the target has to be written.
 	changed chan struct{}
 
+	// highest is the highest configuration version that a balancer has told of. Only the duty receive uses it.
+	highest hop.Sighting
+
 	// mu guards the decisions.
 	mu       sync.Mutex
 	resident *resident.Resident
