Let openings of less urgent routes wait at the agent of a busy target

Cause: after a loss of power all callers come back within a second; targets queue them in the order of arrival, so that urgent requests are late too, and shed what exceeds their queues. Change: an agent counts the flows that wait for its target; from twice the slots on, openings of routes below priority 1 wait in a queue ordered by priority, then by whether the objective can still be met. They are given up 200 ms before their caller does so itself.

--- /dev/null
+++ b/internal/opaque/admission/admission.go
@@ -0,0 +1,133 @@
+// Package admission orders the flows that wait at an agent because their target is busy. It is a pure state machine.
+//
+// The pattern that it answers is the common return: after a loss of power, or when doors open, every caller comes in the
+// same moment, and a target that serves them in the order of their arrival is late for all of them. Here the flows that
+// can still be answered within their objective go before those that cannot, and urgent routes before others.
+package admission
+
+import (
+	"time"
+
+	"gentianswitch/internal/opaque/flow"
+)
+
+const (
+	// maxWaiting bounds the flows that wait at a target: more than come back to one of seven targets when all callers of
+	// a deployment (700 in two seconds of outage) come at once.
+	maxWaiting = 256
+	// maxAge is the age up to which a flow may wait. Callers give an opening packet up after 1.4 s; what is left of that
+	// is for the way and for the handshake.
+	maxAge = 1200 * time.Millisecond
+)
+
+// Ages of a caller that sends a copy of its opening packet: copies leave after 200 ms and 600 ms.
+var copyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// Urgency is what a balancer tells of the route of a flow.
+type Urgency struct {
+	// Priority is 0 for the most urgent routes.
+	Priority uint8
+	// Objective is the time from the caller's first try within which an answer is of full use.
+	Objective time.Duration
+}
+
+// Opening is a flow that wants to open.
+type Opening[T any] struct {
+	ID      flow.ID
+	Urgency Urgency
+	// Copies counts the earlier copies of the opening packet.
+	Copies uint32
+	// Item goes with the flow.
+	Item T
+}
+
+type waiting[T any] struct {
+	opening Opening[T]
+	// since is when the flow came, and born when its caller began at the latest.
+	since, born time.Time
+}
+
+// Queue holds the flows that wait.
+type Queue[T any] struct {
+	flows []waiting[T]
+}
+
+// Len returns the number of flows that wait.
+func (q *Queue[T]) Len() int { return len(q.flows) }
+
+// Add puts a flow into the queue. A copy of a flow that waits only tells how old it is. When the queue is full, the flow
+// that would be served last is returned, and displaced is true.
+func (q *Queue[T]) Add(now time.Time, o Opening[T]) (last Opening[T], displaced bool) {
+	born := now.Add(-copyAges[min(int(o.Copies), len(copyAges)-1)])
+	for i := range q.flows {
+		if q.flows[i].opening.ID == o.ID {
+			if born.Before(q.flows[i].born) {
+				q.flows[i].born = born
+			}
+			return last, false
+		}
+	}
+	q.flows = append(q.flows, waiting[T]{opening: o, since: now, born: born})
+	if len(q.flows) <= maxWaiting {
+		return last, false
+	}
+	worst := 0
+	for i := range q.flows {
+		if before(now, &q.flows[worst], &q.flows[i]) {
+			worst = i
+		}
+	}
+	return q.remove(worst), true
+}
+
+// Next removes and returns the flow that is served next.
+func (q *Queue[T]) Next(now time.Time) (Opening[T], bool) {
+	if len(q.flows) == 0 {
+		var none Opening[T]
+		return none, false
+	}
+	best := 0
+	for i := range q.flows {
+		if before(now, &q.flows[i], &q.flows[best]) {
+			best = i
+		}
+	}
+	return q.remove(best), true
+}
+
+// Overdue removes and returns a flow that has waited for so long that its caller is about to give up.
+func (q *Queue[T]) Overdue(now time.Time) (Opening[T], bool) {
+	for i := range q.flows {
+		if now.Sub(q.flows[i].born) >= maxAge {
+			return q.remove(i), true
+		}
+	}
+	var none Opening[T]
+	return none, false
+}
+
+func (q *Queue[T]) remove(i int) Opening[T] {
+	o := q.flows[i].opening
+	last := len(q.flows) - 1
+	q.flows[i] = q.flows[last]
+	q.flows[last] = waiting[T]{}
+	q.flows = q.flows[:last]
+	return o
+}
+
+// before reports whether a is served before b: the more urgent route, then who can still be in time, then who has come
+// first.
+func before[T any](now time.Time, a, b *waiting[T]) bool {
+	if a.opening.Urgency.Priority != b.opening.Urgency.Priority {
+		return a.opening.Urgency.Priority < b.opening.Urgency.Priority
+	}
+	if inTime := a.isInTime(now); inTime != b.isInTime(now) {
+		return inTime
+	}
+	return a.since.Before(b.since)
+}
+
+// isInTime reports whether the flow can be answered within its objective. Half of the objective is left for the run.
+func (w *waiting[T]) isInTime(now time.Time) bool {
+	return now.Sub(w.born) < w.opening.Urgency.Objective/2
+}
--- a/internal/opaque/desired/desired.go
+++ b/internal/opaque/desired/desired.go
@@ -29,6 +29,10 @@
 	Shares []Share
 	// Deadline is the time after which callers of the route give up.
 	Deadline time.Duration
+	// Objective is the time from a caller's first try within which an answer is of full use.
+	Objective time.Duration
+	// Priority is 0 for the most urgent routes.
+	Priority uint8
 }
 
 // Table is one version of the routes. It is immutable.
--- a/internal/opaque/flow/flow.go
+++ b/internal/opaque/flow/flow.go
@@ -88,6 +88,8 @@
 	IsBounced bool
 	// Copies counts the earlier copies of a packet that opens a flow.
 	Copies uint32
+	// Sequence is the sequence number of the first byte of data.
+	Sequence uint32
 	// Acknowledged is the sequence number up to which the sender has received, except in a packet that opens a flow.
 	Acknowledged uint32
 	// Mark is the value that the sidecar gave to SetMark before the target bounced the packet.
@@ -96,6 +98,9 @@
 	Payload int
 }
 
+// End returns the sequence number after the data.
+func (p *Packet) End() uint32 { return p.Sequence + uint32(p.Payload) }
+
 // FromCaller returns the flow of a packet that a caller sent.
 func (p *Packet) FromCaller() ID { return ID{Caller: p.Source, Address: p.Destination} }
 
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -25,11 +25,13 @@
 	Answer
 	// Drop discards the packet.
 	Drop
+	// Wait keeps the packet, which opens a flow, until the target has room: until HasRoom reports so.
+	Wait
 )
 
 // String returns the name that metrics and logs use.
 func (v Verdict) String() string {
-	return [...]string{"invalid", "deliver", "pass_on", "give_back", "answer", "drop"}[v]
+	return [...]string{"invalid", "deliver", "pass_on", "give_back", "answer", "drop", "wait"}[v]
 }
 
 // Reason tells what a verdict rests on.
@@ -45,13 +47,13 @@
 	Silent
 	Bounced
 	Stale
-	OpenFlow
+	Busy
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
-		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "open_flow",
+		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy",
 	}[r]
 }
 
@@ -78,6 +80,12 @@
 	markSlots = 4096
 	// idleLimit is above the 15 s after which idle flows may be discarded.
 	idleLimit = 20 * time.Second
+	// roomFactor is the number of waiting flows for each slot up to which new flows are given to the target: as many
+	// requests wait there as run.
+	roomFactor = 2
+	// waitLimit is the time after which a flow without packets no longer counts as waiting: its caller has left. Callers
+	// repeat unanswered packets at least every 1.6 s.
+	waitLimit = 2 * time.Second
 	// closedLimit is the time for which a finished flow is remembered: the longest retransmission interval of its ends.
 	closedLimit = 2 * time.Second
 	// hintInterval is the least time between two hints to balancers on one flow. A hint can be lost, and after a change
@@ -90,7 +98,14 @@
 	seen         time.Time
 	hinted       time.Time
 	acknowledged uint32
-	isOpen       bool
+	// sent is the sequence number up to which the caller has sent data, valid when hasSent is set.
+	sent    uint32
+	hasSent bool
+	// isAccepted is set once the target has accepted the flow, isOpen once the caller has said so.
+	isAccepted, isOpen bool
+	// isWaiting is set while the caller waits for the target: for its first answer after the handshake, or for the answer
+	// to the data that it has sent.
+	isWaiting bool
 	// finished holds one bit for each end that has sent its last data.
 	finished uint8
 }
@@ -114,6 +129,8 @@
 	marks   [markSlots]mark
 	// sequence numbers the delivered packets, from 1.
 	sequence uint32
+	// waiting is the number of flows whose isWaiting is set.
+	waiting int
 }
 
 // New returns the state beside a target that runs a service.
@@ -132,7 +149,10 @@
 		if reason := r.target.refusal(now); reason != Accepting {
 			return decline(h, reason)
 		}
-		r.target.offered(now)
+		if h.Priority > 1 && !r.HasRoom() {
+			return Decision{Verdict: Wait, Reason: Busy, Header: *h}
+		}
+		return r.offer(now, id, h)
 	}
 	d := Decision{Verdict: Deliver, Mark: r.remember(h)}
 	if f != nil {
@@ -142,6 +162,36 @@
 	return d
 }
 
+// Offer returns the decision for a packet that opens a flow and has waited for room.
+func (r *Resident) Offer(now time.Time, id flow.ID, h *hop.Header) Decision {
+	if reason := r.target.refusal(now); reason != Accepting {
+		return decline(h, reason)
+	}
+	return r.offer(now, id, h)
+}
+
+// offer gives a flow to the target. It counts as waiting from now on, so that a burst of openings finds no more room than
+// there is.
+func (r *Resident) offer(now time.Time, id flow.ID, h *hop.Header) Decision {
+	r.target.offered(now)
+	r.hold(now, id)
+	return Decision{Verdict: Deliver, Mark: r.remember(h)}
+}
+
+// GiveUp returns the decision for a packet that opens a flow and has waited in vain. The balancer tells the caller at
+// once; another target would make it wait anew.
+func (r *Resident) GiveUp(h *hop.Header) Decision {
+	d := Decision{Verdict: GiveBack, Reason: Busy, Header: *h}
+	d.Header.Kind, d.Header.Count = hop.Returned, 0
+	return d
+}
+
+// HasRoom reports whether a new request would run at once or wait only briefly at the target. Before the target has
+// told its slots there is always room.
+func (r *Resident) HasRoom() bool {
+	return !r.target.isKnown || r.waiting < roomFactor*max(r.target.last.Slots, 1)
+}
+
 // remember keeps the header of a delivered packet until the target may have bounced it.
 func (r *Resident) remember(h *hop.Header) uint32 {
 	r.sequence++
@@ -154,18 +204,48 @@
 	f.seen = now
 	switch {
 	case p.Resets:
-		delete(r.flows, id)
+		r.forget(id, f)
 		return false
 	case p.Opens:
 		return false
 	}
-	f.isOpen, f.acknowledged = true, p.Acknowledged
+	f.isOpen, f.acknowledged = f.isAccepted, p.Acknowledged
+	if p.Payload > 0 && f.isNew(p.End()) {
+		r.setWaiting(f, f.finished&targetFinished == 0)
+	}
 	if p.Finishes {
 		f.finished |= callerFinished
 	}
+	return f.isOpen
+}
+
+// isNew notes that the caller has sent data up to a sequence number. It reports false for data that was sent before.
+func (f *held) isNew(end uint32) bool {
+	if f.hasSent && int32(end-f.sent) <= 0 {
+		return false
+	}
+	f.sent, f.hasSent = end, true
 	return true
 }
 
+func (r *Resident) setWaiting(f *held, isWaiting bool) {
+	if f.isWaiting == isWaiting {
+		return
+	}
+	f.isWaiting = isWaiting
+	if isWaiting {
+		r.waiting++
+	} else {
+		r.waiting--
+	}
+}
+
+// forget removes a flow.
+func (r *Resident) forget(id flow.ID, f *held) {
+	r.setWaiting(f, false)
+	delete(r.flows, id)
+}
+
 func (r *Resident) mayHint(now time.Time, f *held) bool {
 	if now.Sub(f.hinted) < hintInterval {
 		return false
@@ -183,28 +263,44 @@
 	id := p.FromTarget()
 	f := r.flows[id]
 	switch {
-	case p.Accepts && f == nil:
-		r.hold(now, id)
+	case p.Accepts:
+		r.hold(now, id).isAccepted = true
+	case f == nil:
 	case p.Resets:
-		delete(r.flows, id)
-	case f != nil && p.Finishes:
-		f.finished |= targetFinished
-		f.seen = now
-	case f != nil:
-		f.seen = now
+		r.forget(id, f)
+	default:
+		r.answered(now, f, p)
 	}
 	return Decision{Verdict: Answer}
 }
 
-func (r *Resident) hold(now time.Time, id flow.ID) {
-	if len(r.flows) < maxFlows {
-		r.flows[id] = &held{seen: now}
+func (r *Resident) answered(now time.Time, f *held, p *flow.Packet) {
+	f.seen = now
+	if p.Payload > 0 || p.Finishes {
+		r.setWaiting(f, false)
+	}
+	if p.Finishes {
+		f.finished |= targetFinished
+	}
+}
+
+// hold notes a flow that was offered to the target.
+func (r *Resident) hold(now time.Time, id flow.ID) *held {
+	f := r.flows[id]
+	if f == nil {
+		f = &held{seen: now}
+		if len(r.flows) >= maxFlows {
+			return f
+		}
+		r.flows[id] = f
+		r.setWaiting(f, true)
 	}
+	return f
 }
 
 func (r *Resident) bounced(p *flow.Packet) Decision {
-	if !p.Opens {
-		delete(r.flows, p.FromCaller())
+	if f := r.flows[p.FromCaller()]; f != nil && !(p.Opens && f.isAccepted) {
+		r.forget(p.FromCaller(), f)
 	}
 	m := &r.marks[p.Mark%markSlots]
 	if p.Mark == 0 || m.sequence != p.Mark {
@@ -236,8 +332,11 @@
 func (r *Resident) Sweep(now time.Time) {
 	for id, f := range r.flows {
 		idle := now.Sub(f.seen)
-		if idle > idleLimit || f.finished == callerFinished|targetFinished && idle > closedLimit {
-			delete(r.flows, id)
+		switch {
+		case idle > idleLimit || f.finished == callerFinished|targetFinished && idle > closedLimit:
+			r.forget(id, f)
+		case idle > waitLimit:
+			r.setWaiting(f, false)
 		}
 	}
 }
@@ -254,5 +353,6 @@
 		}
 	}
 	clear(r.flows)
+	r.waiting = 0
 	return ended
 }
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -8,13 +8,13 @@
 
 // counters are the metrics of a sidecar.
 type counters struct {
-	verdicts              [resident.Drop + 1]tally.Counter
+	verdicts              [resident.Wait + 1]tally.Counter
 	malformed, sendFailed tally.Counter
 }
 
 func newCounters(scope tally.Scope) counters {
 	c := counters{malformed: scope.Counter("opaque_malformed"), sendFailed: scope.Counter("opaque_send_failed")}
-	for v := resident.Deliver; v <= resident.Drop; v++ {
+	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
 	}
 	return c
--- /dev/null
+++ b/internal/opaque/sidecar/openings.go
@@ -0,0 +1,82 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"gentianswitch/internal/opaque/admission"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+)
+
+// overdueInterval is the time between two looks for openings that have waited for too long: short beside their 1.2 s.
+const overdueInterval = 50 * time.Millisecond
+
+// opening is a packet that opens a flow and waits for room at the target.
+type opening struct {
+	packet   flow.Packet
+	header   hop.Header
+	datagram []byte
+}
+
+// newOpening copies a packet that has to wait.
+func newOpening(p *flow.Packet, h *hop.Header, datagram []byte) admission.Opening[opening] {
+	// The copy has room for a trailer, in case the packet is passed on after all.
+	kept := append(make([]byte, 0, len(datagram)+hop.MaxTrailer), datagram...)
+	return admission.Opening[opening]{
+		ID: p.FromCaller(), Copies: p.Copies,
+		Urgency: admission.Urgency{
+			Priority: h.Priority, Objective: time.Duration(h.Objective) * time.Millisecond,
+		},
+		Item: opening{packet: *p, header: *h, datagram: kept},
+	}
+}
+
+// offerNext gives waiting flows to the target while it has room.
+func (s *Sidecar) offerNext(now time.Time) {
+	for {
+		s.mu.Lock()
+		if s.openings.Len() == 0 || !s.resident.HasRoom() {
+			s.mu.Unlock()
+			return
+		}
+		next, _ := s.openings.Next(now)
+		d := s.resident.Offer(now, next.ID, &next.Item.header)
+		s.mu.Unlock()
+		s.carryOut(&next.Item.packet, d, next.Item.datagram)
+	}
+}
+
+// endOverdue gives flows up whose callers are about to, until ctx ends.
+func (s *Sidecar) endOverdue(ctx context.Context) error {
+	ticker := time.NewTicker(overdueInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.takeOverdue(now)
+		}
+	}
+}
+
+func (s *Sidecar) takeOverdue(now time.Time) {
+	for {
+		s.mu.Lock()
+		overdue, ok := s.openings.Overdue(now)
+		s.mu.Unlock()
+		if !ok {
+			return
+		}
+		s.giveUp(&overdue.Item)
+	}
+}
+
+// giveUp returns a flow that has waited in vain to its balancer.
+func (s *Sidecar) giveUp(o *opening) {
+	s.mu.Lock()
+	d := s.resident.GiveUp(&o.header)
+	s.mu.Unlock()
+	s.carryOut(&o.packet, d, o.datagram)
+}
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -57,6 +57,15 @@
 	now := time.Now()
 	s.mu.Lock()
 	d := s.resident.FromNode(now, &p, h)
+	if d.Verdict == resident.Wait {
+		displaced, isDisplaced := s.openings.Add(now, newOpening(&p, h, datagram))
+		s.mu.Unlock()
+		s.counters.verdict(d.Verdict).Inc(1)
+		if isDisplaced {
+			s.giveUp(&displaced.Item)
+		}
+		return
+	}
 	s.mu.Unlock()
 	if d.TellOrigin {
 		s.tell(h.Origin, p.FromCaller())
@@ -88,6 +97,7 @@
 		d := s.resident.FromTarget(now, &p)
 		s.mu.Unlock()
 		s.carryOut(&p, d, datagram)
+		s.offerNext(now)
 	})
 }
 
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/admission"
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
@@ -76,6 +77,7 @@
 	// mu guards the decisions.
 	mu       sync.Mutex
 	resident *resident.Resident
+	openings admission.Queue[opening]
 	writer   registry.Writer
 }
 
@@ -98,6 +100,7 @@
 	group.Go("announcements", s.serveAnnouncements)
 	group.Go("entry", s.keepEntry)
 	group.Go("sweep", s.sweep)
+	group.Go("openings", s.endOverdue)
 	group.Go("close", func(ctx context.Context) error {
 		<-ctx.Done()
 		_ = s.data.Close()
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -4,6 +4,7 @@
 package steer
 
 import (
+	"math"
 	"time"
 
 	"gentianswitch/internal/opaque/desired"
@@ -217,6 +218,10 @@
 // compare with their own. It reports false when none is left.
 func (s *Steer) fill(d *Decision, now time.Time, id flow.ID, opens bool, walked int) bool {
 	hash := id.Hash()
+	if opens {
+		d.Header.Priority = d.Route.Priority
+		d.Header.Objective = uint16(min(d.Route.Objective.Milliseconds(), math.MaxUint16))
+	}
 	var buffer [maxGroups]desired.ServiceKey
 	skipped := 0
 	for _, service := range s.groups(buffer[:0], now, d.Route, id, hash, opens) {
