Stop counting handshakes that callers do not complete

Cause: an opening offered to a target whose caller had left kept its place for two seconds, while others waited.

--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -86,6 +86,9 @@
 	// waitLimit is the time after which a flow without packets no longer counts as waiting: its caller has left. Callers
 	// repeat unanswered packets at least every 1.6 s.
 	waitLimit = 2 * time.Second
+	// openLimit is the time in which a caller that is there completes the handshake: far above a round trip to callers,
+	// which is 2 to 6 ms. Later the flow no longer counts as waiting.
+	openLimit = 100 * time.Millisecond
 	// closedLimit is the time for which a finished flow is remembered: the longest retransmission interval of its ends.
 	closedLimit = 2 * time.Second
 	// hintInterval is the least time between two hints to balancers on one flow. A hint can be lost, and after a change
@@ -335,7 +338,7 @@
 		switch {
 		case idle > idleLimit || f.finished == callerFinished|targetFinished && idle > closedLimit:
 			r.forget(id, f)
-		case idle > waitLimit:
+		case idle > waitLimit || !f.isOpen && idle > openLimit:
 			r.setWaiting(f, false)
 		}
 	}
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -36,7 +36,7 @@
 func (s *Sidecar) offerNext(now time.Time) {
 	for {
 		s.mu.Lock()
-		if s.openings.Len() == 0 || !s.resident.HasRoom() {
+		if s.openings.Len() == 0 || !s.hasRoom(now) {
 			s.mu.Unlock()
 			return
 		}
@@ -47,6 +47,14 @@
 	}
 }
 
+// hasRoom reports whether the target has room once flows without a caller are left out. The caller holds mu.
+func (s *Sidecar) hasRoom(now time.Time) bool {
+	if !s.resident.HasRoom() {
+		s.resident.Sweep(now)
+	}
+	return s.resident.HasRoom()
+}
+
 // endOverdue gives flows up whose callers are about to, until ctx ends.
 func (s *Sidecar) endOverdue(ctx context.Context) error {
 	ticker := time.NewTicker(overdueInterval)
@@ -57,6 +65,7 @@
 			return nil
 		case now := <-ticker.C:
 			s.takeOverdue(now)
+			s.offerNext(now)
 		}
 	}
 }
