Prefer targets of the own zone; make fewer calls to the store

Change: targets of the balancer's zone weigh twice; waits for changes start at least 300 ms apart; an agent writes its entry without reading it first; routes of the highest urgency are found from the table in place of a fixed number.

--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -25,8 +25,8 @@
 
 // Urgency is what a balancer tells of the route of a flow.
 type Urgency struct {
-	// Priority is 0 for the most urgent routes.
-	Priority uint8
+	// Deferral is 0 for the most urgent routes.
+	Deferral uint8
 	// Objective is the time from the caller's first try within which an answer is of full use.
 	Objective time.Duration
 }
@@ -118,8 +118,8 @@
 // before reports whether a is served before b: the more urgent route, then who can still be in time, then who has come
 // first.
 func before[T any](now time.Time, a, b *waiting[T]) bool {
-	if a.opening.Urgency.Priority != b.opening.Urgency.Priority {
-		return a.opening.Urgency.Priority < b.opening.Urgency.Priority
+	if a.opening.Urgency.Deferral != b.opening.Urgency.Deferral {
+		return a.opening.Urgency.Deferral < b.opening.Urgency.Deferral
 	}
 	if inTime := a.isInTime(now); inTime != b.isInTime(now) {
 		return inTime
--- a/internal/opaque/desired/desired.go
+++ b/internal/opaque/desired/desired.go
@@ -3,6 +3,7 @@
 package desired
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +32,7 @@
 	Deadline time.Duration
 	// Objective is the time from a caller's first try within which an answer is of full use.
 	Objective time.Duration
-	// Priority is 0 for the most urgent routes.
+	// Priority is lower for more urgent routes.
 	Priority uint8
 }
 
@@ -40,15 +41,23 @@
 	// Version only rises.
 	Version uint64
 	routes  map[flow.Endpoint]*Route
+	// urgent is the lowest Priority of all routes.
+	urgent uint8
 }
 
 // NewTable returns a table without routes.
 func NewTable(version uint64) *Table {
-	return &Table{Version: version, routes: make(map[flow.Endpoint]*Route)}
+	return &Table{Version: version, routes: make(map[flow.Endpoint]*Route), urgent: math.MaxUint8}
 }
 
 // Add adds a route while the table is built.
-func (t *Table) Add(address flow.Endpoint, route *Route) { t.routes[address] = route }
+func (t *Table) Add(address flow.Endpoint, route *Route) {
+	t.routes[address] = route
+	t.urgent = min(t.urgent, route.Priority)
+}
+
+// Deferral returns by how many steps a route is less urgent than the most urgent one.
+func (t *Table) Deferral(route *Route) uint8 { return route.Priority - t.urgent }
 
 // Route returns the route of an address, or nil.
 func (t *Table) Route(address flow.Endpoint) *Route { return t.routes[address] }
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -79,11 +79,13 @@
 type Directory struct {
 	targets map[hop.IP]*Target
 	view    *View
+	// zone is the availability zone of the balancer.
+	zone string
 }
 
-// New returns an empty directory.
-func New() *Directory {
-	return &Directory{targets: make(map[hop.IP]*Target), view: &View{}}
+// New returns an empty directory of a balancer in an availability zone.
+func New(zone string) *Directory {
+	return &Directory{zone: zone, targets: make(map[hop.IP]*Target), view: &View{}}
 }
 
 // View returns the current view. It is immutable.
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -42,7 +42,7 @@
 	for _, t := range d.targets {
 		agents[t.Agent] = t.State
 		pools[t.service] = append(pools[t.service], Candidate{
-			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Weight: float64(max(t.Entry.Slots, 1)),
+			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Weight: float64(max(t.Entry.Slots, 1)) * d.preference(t.Entry.Zone),
 			IsDraining: t.Entry.IsDraining, State: t.State,
 		})
 	}
@@ -57,8 +57,8 @@
 }
 
 // Order appends to out the agents of a service in the order in which a flow is offered to them, without the first skip,
-// up to the capacity of out. It also returns how many there are in all. The order follows from the flow and the set of
-// targets alone, so that balancers with the same view agree. Targets that do not answer come last. A flow that opens is
+// up to the capacity of out. It also returns how many there are in all. The order follows from the flow, the set of
+// targets and the balancer's zone alone, so that balancers of a zone with the same view agree. Targets that do not answer come last. A flow that opens is
 // not offered to targets that drain.
 func (v *View) Order(service desired.ServiceKey, flow uint64, opens bool, skip int, out []hop.IP) ([]hop.IP, int) {
 	pool := v.pools[service]
@@ -95,3 +95,14 @@
 		return 0
 	}
 }
+
+// localPreference is the weight of targets in the balancer's own availability zone. Traffic between zones costs money and
+// a millisecond; a higher weight overloads zones with few targets.
+const localPreference = 2
+
+func (d *Directory) preference(zone string) float64 {
+	if zone == d.zone {
+		return localPreference
+	}
+	return 1
+}
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -20,6 +20,9 @@
 	// followWait is the time after which a call that waits for changes is renewed. A store that compacts its history can
 	// leave a waiting call without an event, and operators expect a change in force within 3 s.
 	followWait = 2500 * time.Millisecond
+	// followSpacing is the least time between two such calls, so that changes in quick succession arrive together. It is a
+	// tenth of the time in which operators expect a change in force.
+	followSpacing = 300 * time.Millisecond
 	// Waits between failed calls: short at first, and at most a second, so that an outage costs few calls. A balancer
 	// that knows no routes yet has callers waiting and tries more often.
 	firstRetry      = 50 * time.Millisecond
@@ -37,6 +40,7 @@
 	at, isListed, isLost := store.Version(0), false, false
 	for ctx.Err() == nil {
 		var err error
+		started := time.Now()
 		if isListed {
 			at, err = f.takeChanges(ctx, at)
 		} else {
@@ -50,6 +54,7 @@
 			}
 			isLost = false
 			retry.Reset()
+			sleep(ctx, followSpacing-time.Since(started))
 			continue
 		case ctx.Err() != nil:
 			return nil
@@ -71,6 +76,9 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -31,7 +31,7 @@
 // Sizes of the trailer in bytes.
 const (
 	addressBytes = 4
-	// fixedBytes holds origin (4), service (8), sequence (2), objective (2), priority (1), walked (1), hops (1),
+	// fixedBytes holds origin (4), service (8), sequence (2), objective (2), deferral (1), walked (1), hops (1),
 	// candidates (1) and kind (1).
 	fixedBytes = 21
 	// MaxTrailer is the size of the largest trailer.
@@ -50,10 +50,10 @@
 	Service uint64
 	// Sequence pairs a Pong with its Ping.
 	Sequence uint16
-	// Objective is the latency objective of the flow's route in milliseconds, and Priority its priority, 0 for the most
-	// urgent. They are set in a frame that opens a flow.
+	// Objective is the latency objective of the flow's route in milliseconds, and Deferral tells by how many steps the
+	// route is less urgent than the most urgent one. They are set in a frame that opens a flow.
 	Objective uint16
-	Priority  uint8
+	Deferral  uint8
 	// Walked counts the candidates that the flow was offered to before those in this frame.
 	Walked uint8
 	// Hops counts the agents that passed the frame on.
@@ -76,7 +76,7 @@
 	frame = binary.BigEndian.AppendUint64(frame, h.Service)
 	frame = binary.BigEndian.AppendUint16(frame, h.Sequence)
 	frame = binary.BigEndian.AppendUint16(frame, h.Objective)
-	return append(frame, h.Priority, h.Walked, h.Hops, h.Count, byte(h.Kind))
+	return append(frame, h.Deferral, h.Walked, h.Hops, h.Count, byte(h.Kind))
 }
 
 // Decode reads the trailer of a frame into h and returns the body before it.
@@ -89,7 +89,7 @@
 	h.Service = binary.BigEndian.Uint64(fixed[4:12])
 	h.Sequence = binary.BigEndian.Uint16(fixed[12:14])
 	h.Objective = binary.BigEndian.Uint16(fixed[14:16])
-	h.Priority, h.Walked, h.Hops, h.Count, h.Kind = fixed[16], fixed[17], fixed[18], fixed[19], Kind(fixed[20])
+	h.Deferral, h.Walked, h.Hops, h.Count, h.Kind = fixed[16], fixed[17], fixed[18], fixed[19], Kind(fixed[20])
 	list := int(h.Count) * addressBytes
 	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Pong {
 		return nil, ErrMalformed
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -26,12 +26,15 @@
 
 // Writer decides how an agent brings its entry into the store. A write names the revision that it replaces, so that a
 // delayed write of an earlier process cannot replace a later one. One call is under way at a time.
+//
+// A new process assumes at first that the entry does not exist: where it does, the refused write tells its revision.
 type Writer struct {
 	desired, stored []byte
 	revision        store.Version
-	isKnown         bool
-	failures        int
-	notBefore       time.Time
+	// isUncertain is set after a call whose outcome is not known.
+	isUncertain bool
+	failures    int
+	notBefore   time.Time
 }
 
 // Want sets the value that the store has to hold.
@@ -39,7 +42,7 @@
 
 // IsSettled reports whether the store holds the wanted value as far as is known.
 func (w *Writer) IsSettled() bool {
-	return w.desired == nil || w.isKnown && bytes.Equal(w.desired, w.stored)
+	return w.desired == nil || !w.isUncertain && bytes.Equal(w.desired, w.stored)
 }
 
 // Next returns the call that is due, or Rest and the time until one may be.
@@ -49,7 +52,7 @@
 		return Rest, 0
 	case now.Before(w.notBefore):
 		return Rest, w.notBefore.Sub(now)
-	case !w.isKnown:
+	case w.isUncertain:
 		return Read, 0
 	default:
 		return Write, 0
@@ -62,7 +65,7 @@
 // Found takes the result of a read, or of a write that was refused since the entry has another revision. A revision of
 // zero means that the entry does not exist.
 func (w *Writer) Found(value []byte, revision store.Version) {
-	w.stored, w.revision, w.isKnown, w.failures = value, revision, true, 0
+	w.stored, w.revision, w.isUncertain, w.failures = value, revision, false, 0
 }
 
 // Written takes the result of a write that succeeded.
@@ -70,7 +73,7 @@
 
 // Failed takes a call whose outcome is not known. The entry is read again before it is written.
 func (w *Writer) Failed(now time.Time) {
-	w.isKnown = false
+	w.isUncertain = true
 	w.notBefore = now.Add(retryWaits[min(w.failures, len(retryWaits)-1)])
 	w.failures++
 }
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -152,7 +152,8 @@
 		if reason := r.target.refusal(now); reason != Accepting {
 			return decline(h, reason)
 		}
-		if h.Priority > 1 && !r.HasRoom() {
+		// The most urgent flows do not wait: the requests on flows that are open already would overtake them.
+		if h.Deferral > 0 && !r.HasRoom() {
 			return Decision{Verdict: Wait, Reason: Busy, Header: *h}
 		}
 		return r.offer(now, id, h)
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -155,7 +155,7 @@
 		entry := s.resident.Entry()
 		s.parts.Log.Emit(events.EntryWritten, events.F("revision", item.Version),
 			events.F("draining", entry.IsDraining), events.F("left", entry.HasLeft))
-	case eris.Is(err, store.ErrConflict):
+	case eris.Is(err, store.ErrConflict) && item.Version != revision:
 		s.writer.Found(item.Value, item.Version)
 	default:
 		s.failed(err, "write entry")
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -26,7 +26,7 @@
 	return admission.Opening[opening]{
 		ID: p.FromCaller(), Copies: p.Copies,
 		Urgency: admission.Urgency{
-			Priority: h.Priority, Objective: time.Duration(h.Objective) * time.Millisecond,
+			Deferral: h.Deferral, Objective: time.Duration(h.Objective) * time.Millisecond,
 		},
 		Item: opening{packet: *p, header: *h, datagram: kept},
 	}
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -90,7 +90,7 @@
 // New returns the state of the balancer at the address self.
 func New(self hop.IP) *Steer {
 	return &Steer{
-		self: self, view: directory.New().View(), formers: make(map[flow.Endpoint][]former), located: newLocated(),
+		self: self, view: &directory.View{}, formers: make(map[flow.Endpoint][]former), located: newLocated(),
 	}
 }
 
@@ -219,7 +219,7 @@
 func (s *Steer) fill(d *Decision, now time.Time, id flow.ID, opens bool, walked int) bool {
 	hash := id.Hash()
 	if opens {
-		d.Header.Priority = d.Route.Priority
+		d.Header.Deferral = s.table.Deferral(d.Route)
 		d.Header.Objective = uint16(min(d.Route.Objective.Milliseconds(), math.MaxUint16))
 	}
 	var buffer [maxGroups]desired.ServiceKey
