--- /dev/null
+++ b/internal/opaque/admission/admission_test.go
@@ -0,0 +1,124 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/admission"
+	"gentianswitch/internal/opaque/flow"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func opening(port uint16, deferral uint8, copies uint32) admission.Opening[string] {
+	return admission.Opening[string]{
+		ID:      flow.ID{Caller: flow.Endpoint{Port: port}},
+		Urgency: admission.Urgency{Deferral: deferral, Objective: 200 * time.Millisecond},
+		Copies:  copies,
+	}
+}
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func order(q *admission.Queue[string], now time.Time) []uint16 {
+	var ports []uint16
+	for next, ok := q.Next(now); ok; next, ok = q.Next(now) {
+		ports = append(ports, next.ID.Caller.Port)
+	}
+	return ports
+}
+
+func TestUrgentThenTimelyThenFirstCome(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	q.Add(start, opening(1, 2, 0))
+	q.Add(start, opening(2, 1, 1))
+	q.Add(start, opening(3, 1, 0))
+	q.Add(after(10), opening(4, 1, 0))
+	g.Expect(order(&q, after(20))).To(Equal([]uint16{3, 4, 2, 1}))
+}
+
+func TestAFlowThatMissesItsObjectiveGoesBehindTimelyOnes(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	q.Add(start, opening(1, 1, 0))
+	q.Add(after(150), opening(2, 1, 0))
+	g.Expect(order(&q, after(150))).To(Equal([]uint16{2, 1}))
+}
+
+func TestACopyTakesNoSecondPlaceAndTellsTheAge(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	q.Add(start, opening(1, 1, 0))
+	q.Add(after(5), opening(1, 1, 2))
+	g.Expect(q.Len()).To(Equal(1))
+	_, isOverdue := q.Overdue(after(500))
+	g.Expect(isOverdue).To(BeFalse())
+	_, isOverdue = q.Overdue(after(610))
+	g.Expect(isOverdue).To(BeTrue(), "the third packet of an opening leaves 600 ms after the first")
+	g.Expect(q.Len()).To(Equal(0))
+}
+
+func TestAFlowIsGivenUpBeforeItsCallerGivesUp(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	q.Add(start, opening(1, 1, 0))
+	_, isOverdue := q.Overdue(after(1199))
+	g.Expect(isOverdue).To(BeFalse())
+	_, isOverdue = q.Overdue(after(1200))
+	g.Expect(isOverdue).To(BeTrue())
+}
+
+func TestAFullQueueGivesUpTheLeastUrgentFlow(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	q.Add(start, opening(9999, 3, 0))
+	displaced := 0
+	for port := range 300 {
+		last, isDisplaced := q.Add(after(1), opening(uint16(port), 1, 0))
+		if isDisplaced && displaced == 0 {
+			g.Expect(last.ID.Caller.Port).To(BeEquivalentTo(9999))
+		}
+		if isDisplaced {
+			displaced++
+		}
+	}
+	g.Expect(q.Len() + displaced).To(Equal(301))
+	g.Expect(q.Len()).To(Equal(256))
+}
+
+// The pattern is the common return: all callers of two seconds come back at once, and new ones go on arriving. A queue in
+// the order of arrival is late for all of them until the backlog is served.
+func TestCommonReturnServesNewCallersInTime(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		backlog = 200
+		// A target of three slots serves a request every 8 ms, and a new caller comes every 14 ms.
+		serviceMs, arrivalMs = 8, 14
+		objective            = 200
+	)
+	var q admission.Queue[string]
+	for port := range backlog {
+		q.Add(start, opening(uint16(port), 1, 2))
+	}
+	arrived := map[uint16]int{}
+	fresh, timely := 0, 0
+	for now := 0; now < 1000; now++ {
+		if now%arrivalMs == 0 {
+			port := uint16(1000 + now)
+			arrived[port] = now
+			q.Add(after(now), opening(port, 1, 0))
+			fresh++
+		}
+		if now%serviceMs != 0 {
+			continue
+		}
+		next, ok := q.Next(after(now))
+		if came, isFresh := arrived[next.ID.Caller.Port]; ok && isFresh && now-came < objective {
+			timely++
+		}
+	}
+	g.Expect(timely).To(BeNumerically(">=", fresh-1))
+}
--- /dev/null
+++ b/internal/opaque/hop/hop_test.go
@@ -0,0 +1,91 @@
+package hop_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/hop"
+)
+
+func header() hop.Header {
+	h := hop.Header{
+		Kind: hop.Forward, Origin: hop.IP{10, 1, 0, 10}, Service: 0x1122334455667788, Sequence: 7, Objective: 250,
+		Deferral: 1, Walked: 3, Hops: 1, Count: 2,
+	}
+	h.Candidates[0], h.Candidates[1] = hop.IP{10, 1, 0, 13}, hop.IP{10, 2, 0, 9}
+	return h
+}
+
+func TestHeaderSurvivesItsEncoding(t *testing.T) {
+	g := NewWithT(t)
+	h := header()
+	var decoded hop.Header
+	body, err := decoded.Decode(h.Append([]byte("datagram")))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("datagram"))
+	g.Expect(decoded).To(Equal(h))
+}
+
+func TestLargestFrameFitsAnEthernetFrame(t *testing.T) {
+	g := NewWithT(t)
+	const ethernetPayload, ipAndUDP, largestDatagram = 1500, 28, 1232
+	g.Expect(largestDatagram + hop.MaxTrailer).To(BeNumerically("<=", ethernetPayload-ipAndUDP))
+}
+
+func TestNextTakesTheCandidatesInTheirOrder(t *testing.T) {
+	g := NewWithT(t)
+	h := header()
+	for _, want := range []hop.IP{{10, 1, 0, 13}, {10, 2, 0, 9}} {
+		next, ok := h.Next()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(next).To(Equal(want))
+	}
+	_, ok := h.Next()
+	g.Expect(ok).To(BeFalse())
+	g.Expect(h.Hops).To(BeEquivalentTo(3))
+}
+
+func TestMalformedFramesAreErrors(t *testing.T) {
+	h := header()
+	whole := h.Append(nil)
+	tooMany := append([]byte(nil), whole...)
+	tooMany[len(tooMany)-2] = hop.MaxCandidates + 1
+	unknown := append([]byte(nil), whole...)
+	unknown[len(unknown)-1] = 99
+	for name, raw := range map[string][]byte{
+		"empty": nil, "short": whole[len(whole)-5:], "without its candidates": whole[len(whole)-21:],
+		"too many candidates": tooMany, "unknown kind": unknown,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var decoded hop.Header
+			_, err := decoded.Decode(raw)
+			NewWithT(t).Expect(err).To(MatchError(hop.ErrMalformed))
+		})
+	}
+}
+
+func TestSightingSurvivesItsEncoding(t *testing.T) {
+	g := NewWithT(t)
+	s := hop.Sighting{Version: 98, Holder: hop.IP{10, 2, 0, 22}}
+	decoded, err := hop.DecodeSighting(s.Append(nil))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(decoded).To(Equal(s))
+	_, err = hop.DecodeSighting([]byte("short"))
+	g.Expect(err).To(MatchError(hop.ErrMalformed))
+}
+
+func FuzzDecode(f *testing.F) {
+	h := header()
+	f.Add(h.Append([]byte("datagram")))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var decoded hop.Header
+		body, err := decoded.Decode(raw)
+		if err != nil {
+			return
+		}
+		if again := decoded.Append(append([]byte(nil), body...)); string(again) != string(raw) {
+			t.Fatalf("%x became %x", raw, again)
+		}
+	})
+}
--- /dev/null
+++ b/internal/opaque/registry/registry_test.go
@@ -0,0 +1,136 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+)
+
+var (
+	start = time.Unix(1_700_000_000, 0)
+	entry = registry.Entry{Service: "pedidos", Zone: "quito", Slots: 5, IsDraining: true}
+)
+
+func TestEntrySurvivesItsEncoding(t *testing.T) {
+	g := NewWithT(t)
+	raw, err := entry.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(registry.Decode(raw)).To(Equal(entry))
+}
+
+func TestEntriesThatNameNoTargetAreErrors(t *testing.T) {
+	encode := func(value any) []byte {
+		raw, err := msgpack.Marshal(value)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return raw
+	}
+	for name, raw := range map[string][]byte{
+		"empty":              nil,
+		"no msgpack":         []byte("{\"service\":\"pedidos\"}"),
+		"no service":         encode(map[string]any{"slots": 5}),
+		"service a number":   encode(map[string]any{"service": 5, "slots": 5}),
+		"negative slots":     encode(map[string]any{"service": "pedidos", "slots": -1}),
+		"impossible slots":   encode(map[string]any{"service": "pedidos", "slots": 1 << 40}),
+		"slots a text":       encode(map[string]any{"service": "pedidos", "slots": "5"}),
+		"a list":             encode([]int{1, 2}),
+		"extension in place": {0xd4, 0x01, 0x02},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := registry.Decode(raw)
+			NewWithT(t).Expect(err).To(HaveOccurred())
+		})
+	}
+}
+
+func TestKeyNamesTheAgent(t *testing.T) {
+	g := NewWithT(t)
+	agent := hop.IP{10, 1, 0, 13}
+	g.Expect(registry.AgentOf(registry.Key(agent))).To(Equal(agent))
+	for _, key := range []string{registry.Prefix, registry.Prefix + "host", registry.Prefix + "::1", "other/10.1.0.13"} {
+		_, err := registry.AgentOf(key)
+		g.Expect(err).To(HaveOccurred(), key)
+	}
+}
+
+func TestWriterCreatesTheEntryWithOneCall(t *testing.T) {
+	g := NewWithT(t)
+	var w registry.Writer
+	g.Expect(step(&w)).To(Equal(registry.Rest))
+	w.Want([]byte("a"))
+	g.Expect(step(&w)).To(Equal(registry.Write))
+	value, replaces := w.Value()
+	g.Expect(replaces).To(BeZero())
+	w.Written(value, 7)
+	g.Expect(step(&w)).To(Equal(registry.Rest))
+	g.Expect(w.IsSettled()).To(BeTrue())
+}
+
+func TestWriterReplacesTheEntryOfAnEarlierProcess(t *testing.T) {
+	g := NewWithT(t)
+	var w registry.Writer
+	w.Want([]byte("new"))
+	w.Found([]byte("old"), 7)
+	g.Expect(step(&w)).To(Equal(registry.Write))
+	_, replaces := w.Value()
+	g.Expect(replaces).To(BeEquivalentTo(7))
+}
+
+func TestWriterReadsAfterACallWithoutAnswer(t *testing.T) {
+	g := NewWithT(t)
+	var w registry.Writer
+	w.Want([]byte("a"))
+	w.Failed(start)
+	next, wait := w.Next(start)
+	g.Expect(next).To(Equal(registry.Rest))
+	g.Expect(wait).To(BeNumerically(">", 0))
+	next, _ = w.Next(start.Add(wait))
+	g.Expect(next).To(Equal(registry.Read), "the write may have been executed, or may be later")
+	w.Found([]byte("a"), 9)
+	g.Expect(w.IsSettled()).To(BeTrue())
+}
+
+func TestWriterBringsTheEntryBackWithinTwoSecondsOfAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	var w registry.Writer
+	w.Want([]byte("a"))
+	now, longest := start, time.Duration(0)
+	for range 20 {
+		w.Failed(now)
+		_, wait := w.Next(now)
+		longest = max(longest, wait)
+		now = now.Add(wait)
+	}
+	g.Expect(longest).To(BeNumerically("<", 2*time.Second))
+}
+
+func TestWriterTakesTheLatestWish(t *testing.T) {
+	g := NewWithT(t)
+	var w registry.Writer
+	w.Want([]byte("ready"))
+	value, _ := w.Value()
+	w.Want([]byte("draining"))
+	w.Written(value, 3)
+	g.Expect(w.IsSettled()).To(BeFalse())
+	g.Expect(step(&w)).To(Equal(registry.Write))
+}
+
+func step(w *registry.Writer) registry.Step {
+	next, _ := w.Next(start)
+	return next
+}
+
+func FuzzDecode(f *testing.F) {
+	raw, _ := entry.Encode()
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		e, err := registry.Decode(raw)
+		if err == nil && (e.Service == "" || e.Slots < 0) {
+			t.Fatalf("%x became %+v", raw, e)
+		}
+	})
+}
