--- /dev/null
+++ b/internal/opaque/directory/directory_test.go
@@ -0,0 +1,223 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/directory"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/store"
+)
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	service = desired.KeyOf("pedidos")
+)
+
+func agent(n byte) hop.IP { return hop.IP{10, 1, 0, n} }
+
+func ready(zone string) registry.Entry {
+	return registry.Entry{Service: "pedidos", Zone: zone, Slots: 5}
+}
+
+func filled(count byte) *directory.Directory {
+	d := directory.New("quito")
+	for n := byte(1); n <= count; n++ {
+		d.Put(start, agent(n), ready("quito"), store.Version(n))
+	}
+	return d
+}
+
+func order(d *directory.Directory, flow uint64, opens bool) []hop.IP {
+	out, _ := d.View().Order(service, flow, opens, 0, make([]hop.IP, 0, hop.MaxCandidates))
+	return out
+}
+
+func TestOrderHoldsEveryTargetOnce(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(7)
+	for flow := range uint64(50) {
+		g.Expect(order(d, flow, true)).To(ConsistOf(
+			agent(1), agent(2), agent(3), agent(4), agent(5), agent(6), agent(7)))
+	}
+}
+
+func TestOrderGoesOnWhereAFrameEnded(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(20)
+	var all []hop.IP
+	for skip := 0; skip < 20; skip += hop.MaxCandidates {
+		part, total := d.View().Order(service, 42, false, skip, make([]hop.IP, 0, hop.MaxCandidates))
+		g.Expect(total).To(Equal(20))
+		all = append(all, part...)
+	}
+	g.Expect(all).To(HaveLen(20))
+	whole, _ := d.View().Order(service, 42, false, 0, make([]hop.IP, 0, 20))
+	g.Expect(all).To(Equal(whole))
+}
+
+func TestALeavingTargetMovesNoFlowOfAnother(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(7)
+	before := make([]hop.IP, 200)
+	for flow := range before {
+		before[flow] = order(d, uint64(flow), false)[0]
+	}
+	left := ready("quito")
+	left.HasLeft = true
+	d.Put(start, agent(3), left, 100)
+	for flow, first := range before {
+		if first != agent(3) {
+			g.Expect(order(d, uint64(flow), false)[0]).To(Equal(first))
+		}
+	}
+}
+
+func TestADrainingTargetKeepsItsFlowsAndGetsNoNewOne(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(3)
+	draining := ready("quito")
+	draining.IsDraining = true
+	open := order(d, 42, false)
+	d.Put(start, open[0], draining, 100)
+	g.Expect(order(d, 42, false)).To(Equal(open))
+	g.Expect(order(d, 42, true)).To(Equal(open[1:]))
+}
+
+func TestSharesFollowSlotsAndTheZone(t *testing.T) {
+	g := NewWithT(t)
+	d := directory.New("quito")
+	d.Put(start, agent(1), ready("quito"), 1)
+	d.Put(start, agent(2), ready("cuenca"), 2)
+	large := ready("cuenca")
+	large.Slots = 10
+	d.Put(start, agent(3), large, 3)
+	counts := make(map[hop.IP]float64)
+	const flows = 20_000
+	for flow := range uint64(flows) {
+		counts[order(d, flow, true)[0]]++
+	}
+	// The weights are 5 slots in the own zone, which weighs twice, 5 slots and 10 slots elsewhere.
+	g.Expect(counts[agent(1)] / flows).To(BeNumerically("~", 0.4, 0.02))
+	g.Expect(counts[agent(2)] / flows).To(BeNumerically("~", 0.2, 0.02))
+	g.Expect(counts[agent(3)] / flows).To(BeNumerically("~", 0.4, 0.02))
+}
+
+func TestOlderRevisionsChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(1)
+	d.Put(start, agent(1), ready("quito"), 50)
+	draining := ready("quito")
+	draining.IsDraining = true
+	_, hasChanged := d.Put(start, agent(1), draining, 49)
+	g.Expect(hasChanged).To(BeFalse())
+	_, hasChanged = d.Remove(agent(1), 50)
+	g.Expect(hasChanged).To(BeFalse())
+	g.Expect(order(d, 1, true)).To(HaveLen(1))
+}
+
+func TestAReusedAddressBelongsToItsNewService(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(2)
+	other := registry.Entry{Service: "mensajes-voz", Zone: "quito", Slots: 5}
+	d.Put(start, agent(1), other, 100)
+	g.Expect(order(d, 1, false)).To(Equal([]hop.IP{agent(2)}))
+	g.Expect(d.View().Pool(desired.KeyOf("mensajes-voz"))).To(HaveLen(1))
+}
+
+func TestRetainRemovesWhatTheStoreNoLongerLists(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(3)
+	d.Put(start, agent(9), ready("quito"), 200)
+	changes := d.Retain(map[hop.IP]struct{}{agent(1): {}}, 150)
+	g.Expect(changes).To(HaveLen(2))
+	g.Expect(order(d, 1, true)).To(ConsistOf(agent(1), agent(9)), "agent 9 came after the list was read")
+}
+
+// run advances the clock in steps and answers the pings of the agents that live.
+func run(d *directory.Directory, from time.Time, length time.Duration, lives func(hop.IP) bool) time.Time {
+	now := from
+	for ; now.Sub(from) < length; now = now.Add(75 * time.Millisecond) {
+		pings, _ := d.Tick(now)
+		for _, p := range pings {
+			if lives(p.Agent) {
+				d.Pong(now.Add(time.Millisecond), p.Agent, p.Sequence)
+			}
+		}
+	}
+	return now
+}
+
+func everyone(hop.IP) bool { return true }
+
+func TestAnAgentThatFallsSilentIsTriedLastAndThenLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(3)
+	now := run(d, start, 3*time.Second, everyone)
+	first := order(d, 42, true)[0]
+	others := func(a hop.IP) bool { return a != first }
+	now = run(d, now, 1500*time.Millisecond, others)
+	g.Expect(order(d, 42, true)).To(HaveLen(3))
+	g.Expect(order(d, 42, true)[2]).To(Equal(first))
+	now = run(d, now, 3*time.Second, others)
+	g.Expect(order(d, 42, true)).To(HaveLen(2))
+	g.Expect(d.View().IsUsable(first)).To(BeFalse())
+	run(d, now, 2*time.Second, everyone)
+	g.Expect(order(d, 42, true)[0]).To(Equal(first), "its place comes back with its answers")
+}
+
+func TestASuspectedAgentIsFoundWithinTheSecondCopyOfAnOpening(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(3)
+	now := run(d, start, 3*time.Second, everyone)
+	first := order(d, 42, true)[0]
+	d.Suspect(now, first)
+	run(d, now, 400*time.Millisecond, func(a hop.IP) bool { return a != first })
+	g.Expect(order(d, 42, true)[0]).NotTo(Equal(first), "callers repeat an opening after 200 ms and 600 ms")
+}
+
+func TestASingleLostPongChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(1)
+	now := start
+	lost := false
+	for ; now.Sub(start) < 5*time.Second; now = now.Add(75 * time.Millisecond) {
+		pings, changes := d.Tick(now)
+		g.Expect(changes).To(BeEmpty())
+		for _, p := range pings {
+			if p.Sequence == 3 && !lost {
+				lost = true
+				continue
+			}
+			d.Pong(now, p.Agent, p.Sequence)
+		}
+	}
+	g.Expect(lost).To(BeTrue())
+}
+
+func TestPingsOfAnAnsweringAgentAreASecondApart(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(1)
+	count := 0
+	for now := start; now.Sub(start) < 10*time.Second; now = now.Add(75 * time.Millisecond) {
+		pings, _ := d.Tick(now)
+		count += len(pings)
+		for _, p := range pings {
+			d.Pong(now, p.Agent, p.Sequence)
+		}
+	}
+	g.Expect(count).To(BeNumerically("<=", 11))
+}
+
+func TestAnswersToOldPingsDoNotRevive(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(1)
+	run(d, start, 5*time.Second, func(hop.IP) bool { return false })
+	g.Expect(d.View().IsUsable(agent(1))).To(BeFalse())
+	_, hasChanged := d.Pong(start.Add(5*time.Second), agent(1), 1)
+	g.Expect(hasChanged).To(BeFalse())
+}
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/socket"
@@ -101,7 +102,7 @@
 	case hop.Returned:
 		f.returned(now, h, body)
 	case hop.Located:
-		f.located(now, body, agent)
+		f.located(now, body, agent, desired.ServiceKey(h.Service))
 	case hop.Pong:
 		f.pong(now, h, body, agent)
 	default:
@@ -140,14 +141,14 @@
 	f.carryOut(&p, d, datagram)
 }
 
-func (f *Forwarder) located(now time.Time, body []byte, agent hop.IP) {
+func (f *Forwarder) located(now time.Time, body []byte, agent hop.IP, service desired.ServiceKey) {
 	id, ok := flow.DecodeID(body)
 	if !ok {
 		f.counters.malformed.Inc(1)
 		return
 	}
 	f.mu.Lock()
-	f.steer.Locate(now, id, agent)
+	f.steer.Locate(now, id, agent, service)
 	f.mu.Unlock()
 	f.parts.Log.Emit(events.OpaqueFlowLocated, events.F("flow", id.String()), events.F("agent", ipText(agent)))
 }
--- /dev/null
+++ b/internal/opaque/resident/resident_test.go
@@ -0,0 +1,312 @@
+package resident_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/opaque/resident"
+)
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	service = desired.KeyOf("pedidos")
+	caller  = flow.Endpoint{IP: [4]byte{100, 64, 0, 7}, Port: 40001}
+	address = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+)
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func heartbeat(sequence int64) resident.Heartbeat {
+	return resident.Heartbeat{
+		Instance: "i-1", Started: 1000, Sequence: sequence, Service: "pedidos", Zone: "quito", Slots: 1,
+	}
+}
+
+func draining(sequence int64) resident.Heartbeat {
+	h := heartbeat(sequence)
+	h.IsDraining = true
+	return h
+}
+
+// beside returns the state beside a target that has announced itself.
+func beside() *resident.Resident {
+	r := resident.New(service)
+	r.Heartbeat(start, heartbeat(1))
+	return r
+}
+
+func frame(candidates ...hop.IP) *hop.Header {
+	h := &hop.Header{Kind: hop.Forward, Service: uint64(service), Origin: hop.IP{10, 1, 0, 10}}
+	h.Count = uint8(copy(h.Candidates[:], candidates))
+	return h
+}
+
+func opening(port uint16) *flow.Packet {
+	from := caller
+	from.Port = port
+	return &flow.Packet{Source: from, Destination: address, Opens: true}
+}
+
+func data(port uint16, sequence uint32) *flow.Packet {
+	p := opening(port)
+	p.Opens, p.Payload, p.Sequence, p.Acknowledged = false, 100, sequence, 5000
+	return p
+}
+
+func answer(port uint16) *flow.Packet {
+	return &flow.Packet{Source: address, Destination: opening(port).Source, Payload: 50}
+}
+
+func accept(port uint16) *flow.Packet {
+	p := answer(port)
+	p.Payload, p.Accepts = 0, true
+	return p
+}
+
+// open brings a flow to the point where the target works on its first request.
+func open(g Gomega, r *resident.Resident, now time.Time, port uint16) {
+	g.Expect(r.FromNode(now, opening(port), frame()).Verdict).To(Equal(resident.Deliver))
+	g.Expect(r.FromTarget(now, accept(port)).Verdict).To(Equal(resident.Answer))
+	g.Expect(r.FromNode(now, data(port, 1), frame()).Verdict).To(Equal(resident.Deliver))
+}
+
+var next = hop.IP{10, 2, 0, 9}
+
+func TestAPacketForAnotherServiceIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	h := frame(next)
+	h.Service++
+	for _, p := range []*flow.Packet{opening(1), data(1, 1)} {
+		d := r.FromNode(start, p, h)
+		g.Expect(d.Verdict).To(Equal(resident.PassOn))
+		g.Expect(d.Reason).To(Equal(resident.OtherService))
+		g.Expect(d.Next).To(Equal(next))
+	}
+}
+
+func TestABouncedPacketGoesToTheNextCandidateAndThenBack(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	d := r.FromNode(start, data(1, 1), frame(next))
+	g.Expect(d.Verdict).To(Equal(resident.Deliver))
+	bounced := data(1, 1)
+	bounced.IsBounced, bounced.Mark = true, d.Mark
+	passed := r.FromTarget(start, bounced)
+	g.Expect(passed.Verdict).To(Equal(resident.PassOn))
+	g.Expect(passed.Next).To(Equal(next))
+	g.Expect(passed.Header.Hops).To(BeEquivalentTo(1))
+
+	bounced.Mark = r.FromNode(start, data(1, 1), frame()).Mark
+	back := r.FromTarget(start, bounced)
+	g.Expect(back.Verdict).To(Equal(resident.GiveBack))
+	g.Expect(back.Header.Kind).To(Equal(hop.Returned))
+	g.Expect(back.Header.Origin).To(Equal(hop.IP{10, 1, 0, 10}))
+}
+
+func TestABounceWithAnUnknownMarkIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	bounced := data(1, 1)
+	bounced.IsBounced = true
+	for _, mark := range []uint32{0, 1, 4097} {
+		bounced.Mark = mark
+		g.Expect(r.FromTarget(start, bounced).Verdict).To(Equal(resident.Drop))
+	}
+	bounced.Mark = r.FromNode(start, data(1, 1), frame(next)).Mark
+	g.Expect(r.FromTarget(start, bounced).Verdict).To(Equal(resident.PassOn))
+	g.Expect(r.FromTarget(start, bounced).Verdict).To(Equal(resident.Drop), "a mark is used once")
+}
+
+func TestADrainingTargetGetsNoNewFlowFromTheFirstMoment(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, start, 1)
+	r.Heartbeat(after(10), draining(2))
+	d := r.FromNode(after(11), opening(2), frame(next))
+	g.Expect(d.Verdict).To(Equal(resident.PassOn))
+	g.Expect(d.Reason).To(Equal(resident.Draining))
+	g.Expect(r.FromNode(after(11), data(1, 200), frame(next)).Verdict).To(Equal(resident.Deliver), "open flows stay")
+	g.Expect(r.FromNode(after(11), opening(1), frame(next)).Verdict).To(Equal(resident.Deliver),
+		"a late copy of the opening of a flow that is open here must not wander and end in a reset")
+}
+
+func TestATargetThatLeftGetsNothingNew(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	g.Expect(r.Leave("i-other")).To(BeFalse())
+	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
+	g.Expect(r.Leave("i-1")).To(BeTrue())
+	g.Expect(r.FromNode(start, opening(2), frame(next)).Reason).To(Equal(resident.Absent))
+	g.Expect(r.Entry().HasLeft).To(BeTrue())
+}
+
+func TestAnAgentThatHasJustStartedServesBeforeTheFirstHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	r := resident.New(service)
+	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
+	g.Expect(r.FromNode(start, data(2, 1), frame(next)).Verdict).To(Equal(resident.Deliver),
+		"its target may hold flows from before")
+	g.Expect(r.Entry()).To(Equal(registry.Entry{}))
+}
+
+func TestASilentTargetIsPassedByUntilItIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
+	g.Expect(r.FromNode(after(100), opening(2), frame(next)).Reason).To(Equal(resident.Silent))
+	r.FromTarget(after(110), accept(1))
+	g.Expect(r.FromNode(after(120), opening(3), frame(next)).Verdict).To(Equal(resident.Deliver))
+}
+
+func TestASilentTargetIsTriedAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	r.FromNode(start, opening(1), frame(next))
+	g.Expect(r.FromNode(after(299), opening(2), frame(next)).Reason).To(Equal(resident.Silent))
+	g.Expect(r.FromNode(after(300), opening(2), frame(next)).Verdict).To(Equal(resident.Deliver))
+}
+
+func TestHeartbeatsOfEarlierIncarnationsAndOvertakenOnesChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	r.Heartbeat(start, draining(5))
+	before := r.Entry()
+	late := heartbeat(4)
+	g.Expect(r.Heartbeat(start, late).IsStale).To(BeTrue())
+	former := heartbeat(900)
+	former.Instance, former.Started = "i-0", 500
+	g.Expect(r.Heartbeat(start, former).IsStale).To(BeTrue())
+	g.Expect(r.Entry()).To(Equal(before))
+}
+
+func TestANewIncarnationUnderTheSameInstanceStartsItsCountAnew(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	r.Heartbeat(start, draining(50))
+	again := heartbeat(1)
+	again.Started = 2000
+	outcome := r.Heartbeat(start, again)
+	g.Expect(outcome.IsStale).To(BeFalse())
+	g.Expect(outcome.HasChanged).To(BeTrue())
+	g.Expect(r.Entry().IsDraining).To(BeFalse())
+}
+
+func TestCallersOfATargetThatStartedAgainAreTold(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, start, 1)
+	r.FromNode(start, opening(2), frame())
+	again := heartbeat(1)
+	again.Instance, again.Started = "i-2", 2000
+	ended := r.Heartbeat(after(500), again).Ended
+	g.Expect(ended).To(HaveLen(1), "the second flow was not open")
+	g.Expect(ended[0].ID.Caller.Port).To(BeEquivalentTo(1))
+	g.Expect(ended[0].Acknowledged).To(BeEquivalentTo(5000))
+	g.Expect(r.Flows()).To(BeZero())
+}
+
+func TestTheBalancerLearnsWhereAFlowIsThatWasPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, start, 1)
+	h := frame()
+	g.Expect(r.FromNode(start, data(1, 100), h).TellOrigin).To(BeFalse(), "it came straight")
+	h.Hops = 2
+	g.Expect(r.FromNode(start, data(1, 200), h).TellOrigin).To(BeTrue())
+	g.Expect(r.FromNode(after(1), data(1, 300), h).TellOrigin).To(BeFalse(), "not for every packet")
+	g.Expect(r.FromNode(after(200), data(1, 400), h).TellOrigin).To(BeTrue(), "the hint may have been lost")
+}
+
+func TestLessUrgentOpeningsWaitWhileTheTargetIsBusy(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, start, 1)
+	open(g, r, start, 2)
+	deferred := frame(next)
+	deferred.Deferral = 1
+	g.Expect(r.FromNode(start, opening(3), deferred).Verdict).To(Equal(resident.Wait))
+	g.Expect(r.FromNode(start, opening(4), frame(next)).Verdict).To(Equal(resident.Deliver), "urgent ones do not")
+	r.FromTarget(start, answer(1))
+	r.FromTarget(start, answer(2))
+	r.FromTarget(start, answer(4))
+	g.Expect(r.HasRoom()).To(BeTrue())
+	g.Expect(r.FromNode(start, opening(3), deferred).Verdict).To(Equal(resident.Deliver))
+}
+
+func TestDataSentAgainDoesNotMakeAnAnsweredFlowWait(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, start, 1)
+	open(g, r, start, 2)
+	r.FromTarget(start, answer(1))
+	r.FromTarget(start, answer(2))
+	r.FromNode(start, data(1, 1), frame())
+	r.FromNode(start, data(2, 1), frame())
+	g.Expect(r.HasRoom()).To(BeTrue())
+}
+
+func TestCallersThatLeaveTakeNoRoom(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	for port := range uint16(2) {
+		r.FromNode(start, opening(port), frame())
+		r.FromTarget(start, accept(port))
+	}
+	g.Expect(r.HasRoom()).To(BeFalse())
+	r.Sweep(after(101))
+	g.Expect(r.HasRoom()).To(BeTrue(), "they have not completed the handshake")
+
+	open(g, r, after(200), 7)
+	open(g, r, after(200), 8)
+	reset := data(7, 1)
+	reset.Resets, reset.Payload = true, 0
+	r.FromNode(after(210), reset, frame())
+	g.Expect(r.HasRoom()).To(BeTrue())
+	r.Sweep(after(2300))
+	open(g, r, after(2300), 9)
+	g.Expect(r.HasRoom()).To(BeTrue(), "flow 8 has been silent for two seconds")
+}
+
+func TestFlowsThatEndedAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, start, 1)
+	last := answer(1)
+	last.Finishes = true
+	r.FromTarget(start, last)
+	finish := data(1, 500)
+	finish.Payload, finish.Finishes = 0, true
+	r.FromNode(start, finish, frame())
+	r.Sweep(after(1900))
+	g.Expect(r.Flows()).To(Equal(1), "its last packets may be repeated")
+	r.Sweep(after(2100))
+	g.Expect(r.Flows()).To(BeZero())
+
+	open(g, r, after(3000), 2)
+	r.Sweep(after(24_000))
+	g.Expect(r.Flows()).To(BeZero())
+}
+
+func TestAnOpeningThatWaitedInVainGoesBackWithoutAWalk(t *testing.T) {
+	g := NewWithT(t)
+	d := beside().GiveUp(frame(next))
+	g.Expect(d.Verdict).To(Equal(resident.GiveBack))
+	g.Expect(d.Header.Count).To(BeZero())
+	g.Expect(d.Header.Kind).To(Equal(hop.Returned))
+}
+
+func TestTheFlowTableIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	for port := range uint16(10_000) {
+		r.FromTarget(start, accept(port))
+	}
+	g.Expect(r.Flows()).To(Equal(4096))
+}
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/resident"
@@ -76,7 +77,7 @@
 // tell lets a balancer know that a flow is here.
 func (s *Sidecar) tell(origin hop.IP, id flow.ID) {
 	var buffer [hop.MaxTrailer]byte
-	h := hop.Header{Kind: hop.Located, Service: 0}
+	h := hop.Header{Kind: hop.Located, Service: uint64(desired.KeyOf(s.settings.Service))}
 	s.write(h.Append(id.AppendTo(buffer[:0])), s.balancer(origin))
 }
 
--- a/internal/opaque/steer/located.go
+++ b/internal/opaque/steer/located.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 )
@@ -12,26 +13,32 @@
 // located remembers which agents hold flows that are not on their first candidate. It is a hint: a wrong or forgotten
 // one costs a longer walk. Two generations bound its size; the older one is dropped when the newer one is full.
 type located struct {
-	newer, older map[flow.ID]hop.IP
+	newer, older map[flow.ID]place
+}
+
+// place is where a flow is.
+type place struct {
+	agent   hop.IP
+	service desired.ServiceKey
 }
 
 func newLocated() located {
-	return located{newer: make(map[flow.ID]hop.IP), older: make(map[flow.ID]hop.IP)}
+	return located{newer: make(map[flow.ID]place), older: make(map[flow.ID]place)}
 }
 
-func (l *located) get(id flow.ID) (hop.IP, bool) {
-	if agent, ok := l.newer[id]; ok {
-		return agent, true
+func (l *located) get(id flow.ID) (place, bool) {
+	if p, ok := l.newer[id]; ok {
+		return p, true
 	}
-	agent, ok := l.older[id]
-	return agent, ok
+	p, ok := l.older[id]
+	return p, ok
 }
 
-func (l *located) put(id flow.ID, agent hop.IP) {
+func (l *located) put(id flow.ID, p place) {
 	if len(l.newer) >= maxLocated {
 		l.rotate()
 	}
-	l.newer[id] = agent
+	l.newer[id] = p
 }
 
 func (l *located) drop(id flow.ID) {
@@ -40,5 +47,5 @@
 }
 
 func (l *located) rotate() {
-	l.older, l.newer = l.newer, make(map[flow.ID]hop.IP)
+	l.older, l.newer = l.newer, make(map[flow.ID]place)
 }
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -128,13 +128,13 @@
 	})
 }
 
-// Locate remembers that an agent holds a flow.
-func (s *Steer) Locate(now time.Time, id flow.ID, agent hop.IP) {
+// Locate remembers that an agent, beside a target of a service, holds a flow.
+func (s *Steer) Locate(now time.Time, id flow.ID, agent hop.IP, service desired.ServiceKey) {
 	if now.Sub(s.rotated) > flowLifetime {
 		s.located.rotate()
 		s.rotated = now
 	}
-	s.located.put(id, agent)
+	s.located.put(id, place{agent, service})
 }
 
 // Decide returns the decision for a packet that a caller sent.
@@ -145,10 +145,8 @@
 		return refusal
 	}
 	d := Decision{Verdict: Forward, Route: route, Header: hop.Header{Kind: hop.Forward, Origin: s.self}}
-	agent, isLocated := s.located.get(id)
-	if isLocated && s.view.IsUsable(agent) {
-		d.Agent, d.Reason = agent, Remembered
-		s.fill(&d, now, id, p.Opens, 0)
+	if known, ok := s.located.get(id); ok && s.view.IsUsable(known.agent) {
+		d.Agent, d.Reason, d.Header.Service = known.agent, Remembered, uint64(known.service)
 		return d
 	}
 	if !s.fill(&d, now, id, p.Opens, 0) {
--- /dev/null
+++ b/internal/opaque/steer/steer_test.go
@@ -0,0 +1,245 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/directory"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/opaque/steer"
+	"gentianswitch/internal/store"
+)
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	self    = hop.IP{10, 1, 0, 10}
+	address = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+)
+
+func agent(n byte) hop.IP { return hop.IP{10, 1, 0, n} }
+
+func route(priority uint8, services ...string) *desired.Route {
+	r := &desired.Route{Name: "r", Priority: priority, Objective: 250 * time.Millisecond}
+	for _, s := range services {
+		r.Shares = append(r.Shares, desired.Share{Service: desired.KeyOf(s), Name: s, Weight: 1})
+	}
+	return r
+}
+
+func table(version uint64, routes map[flow.Endpoint]*desired.Route) *desired.Table {
+	t := desired.NewTable(version)
+	for at, r := range routes {
+		t.Add(at, r)
+	}
+	return t
+}
+
+// serving returns a balancer with one route to "pedidos" and the given targets of it.
+func serving(agents ...byte) (*steer.Steer, *directory.Directory) {
+	s, d := steer.New(self), directory.New("quito")
+	s.Apply(start, table(1, map[flow.Endpoint]*desired.Route{address: route(1, "pedidos")}))
+	add(s, d, "pedidos", agents...)
+	return s, d
+}
+
+func add(s *steer.Steer, d *directory.Directory, service string, agents ...byte) {
+	for _, n := range agents {
+		d.Put(start, agent(n), registry.Entry{Service: service, Zone: "quito", Slots: 5}, store.Version(n))
+	}
+	s.SetView(d.View())
+}
+
+func opening() *flow.Packet {
+	return &flow.Packet{Source: flow.Endpoint{IP: [4]byte{100, 64, 0, 7}, Port: 40001}, Destination: address, Opens: true}
+}
+
+func data() *flow.Packet {
+	p := opening()
+	p.Opens, p.Payload, p.Acknowledged = false, 100, 77
+	return p
+}
+
+func TestOpeningAndOpenPacketsMeetTheSameFirstCandidate(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1, 2, 3)
+	first, later := s.Decide(start, opening()), s.Decide(start, data())
+	g.Expect(first.Verdict).To(Equal(steer.Forward))
+	g.Expect(later.Agent).To(Equal(first.Agent))
+	g.Expect(first.Header.Count).To(BeEquivalentTo(2), "the other two candidates")
+	g.Expect(first.Header.Service).To(BeEquivalentTo(desired.KeyOf("pedidos")))
+	g.Expect(first.Header.Origin).To(Equal(self))
+}
+
+func TestBalancersThatKnowNothingOfAFlowAgree(t *testing.T) {
+	g := NewWithT(t)
+	one, _ := serving(1, 2, 3, 4, 5)
+	other, _ := serving(5, 4, 3, 2, 1)
+	g.Expect(other.Decide(start, data()).Agent).To(Equal(one.Decide(start, data()).Agent))
+}
+
+func TestWithoutConfigurationNothingIsSaidToCallers(t *testing.T) {
+	g := NewWithT(t)
+	d := steer.New(self).Decide(start, opening())
+	g.Expect(d.Verdict).To(Equal(steer.Drop))
+	g.Expect(d.Reason).To(Equal(steer.NoTable))
+}
+
+func TestAFlowWithoutRouteIsResetAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1)
+	p := opening()
+	p.Destination.Port++
+	g.Expect(s.Decide(start, p).Verdict).To(Equal(steer.Reset))
+	p.Opens, p.Resets = false, true
+	g.Expect(s.Decide(start, p).Verdict).To(Equal(steer.Drop), "a reset is not answered")
+}
+
+func TestARouteThatWasDroppedIsNotServed(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1)
+	g.Expect(s.Apply(start, table(2, nil))).To(BeTrue())
+	g.Expect(s.Decide(start, opening()).Verdict).To(Equal(steer.Reset))
+	g.Expect(s.Decide(start, data()).Verdict).To(Equal(steer.Reset))
+}
+
+func TestOnlyRisingVersionsApply(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1)
+	g.Expect(s.Apply(start, table(9, nil))).To(BeTrue())
+	for _, version := range []uint64{9, 8, 1} {
+		g.Expect(s.Apply(start, table(version, map[flow.Endpoint]*desired.Route{address: route(1, "pedidos")}))).To(BeFalse())
+	}
+	g.Expect(s.Table().Version).To(BeEquivalentTo(9))
+}
+
+func TestAnOpeningThatAllDeclineIsResetAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1, 2, 3)
+	d := s.Returned(start, opening(), 3)
+	g.Expect(d.Verdict).To(Equal(steer.Reset))
+	g.Expect(d.Reason).To(Equal(steer.Declined))
+}
+
+func TestAnOpenFlowIsResetOnlyAfterConfirmation(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2, 3)
+	g.Expect(s.Returned(start, data(), 3).Verdict).To(Equal(steer.Confirm))
+	g.Expect(s.Confirmed(start, data(), 3).Verdict).To(Equal(steer.Reset))
+	add(s, d, "pedidos", 4)
+	found := s.Confirmed(start, data(), 3)
+	g.Expect(found.Verdict).To(Equal(steer.Forward), "the confirmation has found a target that was not asked")
+	g.Expect(found.Header.Walked).To(BeEquivalentTo(4))
+}
+
+func TestAResetOfACallerIsNeverAnswered(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1)
+	p := data()
+	p.Resets = true
+	g.Expect(s.Returned(start, p, 1).Verdict).To(Equal(steer.Drop))
+	g.Expect(s.Confirmed(start, p, 1).Verdict).To(Equal(steer.Drop))
+}
+
+func TestAFrameGoesOnWhereTheFormerEnded(t *testing.T) {
+	g := NewWithT(t)
+	agents := make([]byte, 20)
+	for i := range agents {
+		agents[i] = byte(i + 1)
+	}
+	s, _ := serving(agents...)
+	seen := map[hop.IP]bool{}
+	d := s.Decide(start, data())
+	for range 3 {
+		g.Expect(d.Verdict).To(Equal(steer.Forward))
+		seen[d.Agent] = true
+		for i := range d.Header.Count {
+			seen[d.Header.Candidates[i]] = true
+		}
+		d = s.Returned(start, data(), int(d.Header.Walked))
+	}
+	g.Expect(seen).To(HaveLen(20))
+	g.Expect(d.Verdict).To(Equal(steer.Confirm))
+}
+
+func TestALocatedFlowGoesStraightToItsAgent(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1, 2, 3)
+	last := s.Decide(start, data()).Header.Candidates[1]
+	s.Locate(start, data().FromCaller(), last, desired.KeyOf("pedidos"))
+	d := s.Decide(start, data())
+	g.Expect(d.Agent).To(Equal(last))
+	g.Expect(d.Reason).To(Equal(steer.Remembered))
+}
+
+func TestAWrongMemoryCostsOnlyTheWalk(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1, 2, 3)
+	first := s.Decide(start, data())
+	s.Locate(start, data().FromCaller(), first.Header.Candidates[1], desired.KeyOf("pedidos"))
+	wrong := s.Decide(start, data())
+	walk := s.Returned(start, data(), int(wrong.Header.Walked))
+	g.Expect(walk.Verdict).To(Equal(steer.Forward))
+	g.Expect(walk.Agent).To(Equal(first.Agent))
+	g.Expect(s.Decide(start, data()).Reason).To(Equal(steer.Placed), "the memory is gone")
+}
+
+func TestTheMemoryOfALeftAgentIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2, 3)
+	s.Locate(start, data().FromCaller(), agent(2), desired.KeyOf("pedidos"))
+	d.Remove(agent(2), 100)
+	s.SetView(d.View())
+	g.Expect(s.Decide(start, data()).Agent).NotTo(Equal(agent(2)))
+}
+
+func TestOpenFlowsAreFoundAfterTheirRouteMoved(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2)
+	add(s, d, "mensajes-voz", 8, 9)
+	s.Apply(start, table(2, map[flow.Endpoint]*desired.Route{address: route(1, "mensajes-voz")}))
+	opens := s.Decide(start, opening())
+	g.Expect(opens.Header.Service).To(BeEquivalentTo(desired.KeyOf("mensajes-voz")))
+	g.Expect(s.Returned(start, opening(), 2).Verdict).To(Equal(steer.Reset), "a new flow does not go to the old service")
+	old := s.Returned(start, data(), 2)
+	g.Expect(old.Verdict).To(Equal(steer.Forward))
+	g.Expect(old.Header.Service).To(BeEquivalentTo(desired.KeyOf("pedidos")))
+	g.Expect(s.Returned(start.Add(61*time.Second), data(), 2).Verdict).To(Equal(steer.Confirm), "flows end within a minute")
+}
+
+func TestNewFlowsFollowTheWeightsOfARoute(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1)
+	add(s, d, "mensajes-voz", 2)
+	split := route(1, "pedidos", "mensajes-voz")
+	split.Shares[0].Weight, split.Shares[1].Weight = 90, 10
+	s.Apply(start, table(2, map[flow.Endpoint]*desired.Route{address: split}))
+	const flows = 10_000
+	minor := 0.0
+	for i := range flows {
+		p := opening()
+		p.Source.Port = uint16(i)
+		if s.Decide(start, p).Header.Service == uint64(desired.KeyOf("mensajes-voz")) {
+			minor++
+		}
+	}
+	g.Expect(minor / flows).To(BeNumerically("~", 0.1, 0.015))
+}
+
+func TestOnlyLessUrgentRoutesAreDeferred(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1)
+	feed := address
+	feed.Port = 8443
+	s.Apply(start, table(2, map[flow.Endpoint]*desired.Route{address: route(1, "pedidos"), feed: route(3, "pedidos")}))
+	g.Expect(s.Decide(start, opening()).Header.Deferral).To(BeZero())
+	p := opening()
+	p.Destination = feed
+	d := s.Decide(start, p)
+	g.Expect(d.Header.Deferral).To(BeEquivalentTo(2))
+	g.Expect(d.Header.Objective).To(BeEquivalentTo(250))
+}
