--- /dev/null
+++ b/integration/opaque_deployment_test.go
@@ -0,0 +1,228 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/platform/standin"
+)
+
+// Ports of an opaque deployment, counted from its first port. Each VM has its own loopback address.
+const (
+	opaquePortData = iota
+	opaquePortPeer
+	opaquePortReady
+	opaquePortOutbound
+	opaquePortAnnounce
+	opaquePortApp
+)
+
+// opaqueDeployment runs balancers and agents of opaque flows beside stand-ins of the platform.
+type opaqueDeployment struct {
+	store     *standin.Store
+	firstPort uint16
+	vms       int
+	callers   int
+	version   uint64
+	balancers []*opaqueProcess
+	agents    []*opaqueProcess
+	targets   []*standin.Target
+}
+
+// opaqueProcess is a balancer or an agent.
+type opaqueProcess struct {
+	ip      netip.Addr
+	args    []string
+	log     string
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+var opaqueAddress = netip.MustParseAddrPort("198.18.0.1:443")
+
+// newOpaqueDeployment starts a deployment whose route leads to the service "lines".
+func newOpaqueDeployment(balancers, targets int) *opaqueDeployment {
+	d := &opaqueDeployment{store: standin.NewStore(), firstPort: freePorts()}
+	DeferCleanup(d.stop)
+	d.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
+	for range balancers {
+		d.addBalancer()
+	}
+	for range targets {
+		d.addTarget("lines")
+	}
+	d.awaitReady()
+	return d
+}
+
+// freePorts returns the first of a block of ports that were free a moment ago.
+func freePorts() uint16 {
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = socket.Close() }()
+	port := socket.LocalAddr().(*net.UDPAddr).Port
+	return uint16(min(port, 60_000))
+}
+
+func (d *opaqueDeployment) newIP() netip.Addr {
+	d.vms++
+	return netip.AddrFrom4([4]byte{127, 10, byte(GinkgoParallelProcess()), byte(d.vms)})
+}
+
+func (d *opaqueDeployment) at(ip netip.Addr, port int) netip.AddrPort {
+	return netip.AddrPortFrom(ip, d.firstPort+uint16(port))
+}
+
+// configure writes the next version of the routes as the operator does.
+func (d *opaqueDeployment) configure(routes map[netip.AddrPort]string) {
+	d.version += 3
+	list := []map[string]any{}
+	for address, service := range routes {
+		list = append(list, map[string]any{
+			"name": "r-" + service, "hostname": address.Addr().String(), "prefix": fmt.Sprintf("/%d/", address.Port()),
+			"type": "unsafe", "timeout_ms": 3000, "goal_ms": 250, "priority": 1, "service": service,
+		})
+	}
+	raw, err := json.Marshal(map[string]any{"version": d.version, "routes": list})
+	Expect(err).NotTo(HaveOccurred())
+	d.store.Put("op/config", raw)
+}
+
+func (d *opaqueDeployment) addBalancer() *opaqueProcess {
+	ip := d.newIP()
+	p := &opaqueProcess{ip: ip, args: []string{
+		filepath.Join(bin, "gentian-balancer"), "opaque", "--zone", "quito", "--store", d.store.Address(),
+		"--data", d.at(ip, opaquePortData).String(), "--peer", d.at(ip, opaquePortPeer).String(),
+		"--ready", d.at(ip, opaquePortReady).String(), "--linger", "300ms",
+	}}
+	if len(d.balancers) > 0 {
+		p.args = append(p.args, "--seeds", d.at(d.balancers[0].ip, opaquePortPeer).String())
+	}
+	p.start()
+	d.balancers = append(d.balancers, p)
+	return p
+}
+
+// addTarget starts a VM with an agent and a target of a service.
+func (d *opaqueDeployment) addTarget(service string) (*opaqueProcess, *standin.Target) {
+	ip := d.newIP()
+	p := d.startAgent(ip, service)
+	d.agents = append(d.agents, p)
+	return p, d.startTarget(ip, service)
+}
+
+func (d *opaqueDeployment) startAgent(ip netip.Addr, service string) *opaqueProcess {
+	p := &opaqueProcess{ip: ip, args: []string{
+		filepath.Join(bin, "gentian-agent"), "opaque", "--zone", "quito", "--store", d.store.Address(),
+		"--service", service, "--data", d.at(ip, opaquePortData).String(), "--outbound", d.at(ip, opaquePortOutbound).String(),
+		"--announce", d.at(ip, opaquePortAnnounce).String(), "--target", d.at(ip, opaquePortApp).String(),
+		"--peer", d.at(ip, opaquePortPeer).String(),
+	}}
+	p.start()
+	return p
+}
+
+func (d *opaqueDeployment) startTarget(ip netip.Addr, service string) *standin.Target {
+	name := fmt.Sprintf("i-%s-%d", service, len(d.targets))
+	t, err := standin.NewTarget(name, service, d.at(ip, opaquePortApp), d.at(ip, opaquePortOutbound), d.at(ip, opaquePortAnnounce))
+	Expect(err).NotTo(HaveOccurred())
+	d.targets = append(d.targets, t)
+	return t
+}
+
+func (d *opaqueDeployment) isReady(p *opaqueProcess) bool {
+	answer, err := http.Get("http://" + d.at(p.ip, opaquePortReady).String() + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return answer.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until every balancer is ready and knows the target of every agent.
+func (d *opaqueDeployment) awaitReady() {
+	for _, p := range d.balancers {
+		Eventually(func() bool { return d.isReady(p) }).WithTimeout(patience).Should(BeTrue())
+		for _, a := range d.agents {
+			Eventually(p.logText).WithTimeout(patience).Should(ContainSubstring(`"agent":"` + a.ip.String() + `"`))
+		}
+	}
+}
+
+// patience is the longest wait for something that has to happen; no promise is measured by it.
+const patience = 20 * time.Second
+
+// newCaller returns a caller whose packets all go to the balancer that the router returns.
+func (d *opaqueDeployment) newCaller(router func() *opaqueProcess) *standin.Caller {
+	d.callers++
+	ip := netip.AddrFrom4([4]byte{127, 20, byte(GinkgoParallelProcess()), byte(d.callers)})
+	c, err := standin.NewCaller(ip, d.firstPort+opaquePortData, opaqueAddress, func() netip.AddrPort {
+		return d.at(router().ip, opaquePortData)
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return c
+}
+
+// through returns a router that always takes one balancer.
+func through(p *opaqueProcess) func() *opaqueProcess { return func() *opaqueProcess { return p } }
+
+func (d *opaqueDeployment) stop() {
+	for _, t := range d.targets {
+		t.Close()
+	}
+	for _, p := range append(d.balancers, d.agents...) {
+		p.kill()
+	}
+	d.store.Close()
+}
+
+func (p *opaqueProcess) start() {
+	file, err := os.CreateTemp("", "gentian-opaque-*.log")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = file.Close() }()
+	p.log = file.Name()
+	p.command = exec.CommandContext(context.Background(), p.args[0], p.args[1:]...)
+	p.command.Stdout, p.command.Stderr = file, file
+	Expect(p.command.Start()).To(Succeed())
+	p.ended = make(chan struct{})
+	go func(command *exec.Cmd, ended chan struct{}) {
+		// How a process that was killed has ended is known already.
+		_ = command.Wait()
+		close(ended)
+	}(p.command, p.ended)
+}
+
+func (p *opaqueProcess) signal(s syscall.Signal) {
+	Expect(p.command.Process.Signal(s)).To(Succeed())
+}
+
+// kill ends the process at once. It is allowed for one that has ended.
+func (p *opaqueProcess) kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+func (p *opaqueProcess) restart() {
+	p.kill()
+	p.start()
+}
+
+// logText returns what the process has written in its current run.
+func (p *opaqueProcess) logText() string {
+	raw, err := os.ReadFile(p.log)
+	Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
--- /dev/null
+++ b/integration/opaque_test.go
@@ -0,0 +1,180 @@
+package integration
+
+import (
+	"fmt"
+	"net/netip"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/platform/standin"
+)
+
+var _ = Describe("Opaque flows", func() {
+	ask := func(c *standin.Caller, request string) string {
+		GinkgoHelper()
+		name, err := c.Ask(request)
+		Expect(err).NotTo(HaveOccurred())
+		return name
+	}
+	open := func(c *standin.Caller) {
+		GinkgoHelper()
+		Expect(c.Open()).To(Succeed())
+	}
+
+	It("stay on their target whichever balancer their packets meet", func() {
+		d := newOpaqueDeployment(3, 4)
+		turn := 0
+		c := d.newCaller(func() *opaqueProcess {
+			turn++
+			return d.balancers[turn%3]
+		})
+		open(c)
+		first := ask(c, "request 0")
+		for i := 1; i < 20; i++ {
+			Expect(ask(c, fmt.Sprintf("request %d", i))).To(Equal(first))
+		}
+	})
+
+	It("survive the kill of every balancer", func() {
+		d := newOpaqueDeployment(2, 3)
+		c := d.newCaller(through(d.balancers[0]))
+		open(c)
+		first := ask(c, "before")
+		for _, p := range d.balancers {
+			p.restart()
+		}
+		d.awaitReady()
+		Expect(ask(c, "after")).To(Equal(first))
+	})
+
+	It("survive the restart of the agent beside their target", func() {
+		d := newOpaqueDeployment(1, 3)
+		c := d.newCaller(through(d.balancers[0]))
+		open(c)
+		first := ask(c, "before")
+		for _, p := range d.agents {
+			p.restart()
+		}
+		Eventually(func() error {
+			_, err := c.Ask("after")
+			return err
+		}).WithTimeout(patience).Should(Succeed())
+		Expect(ask(c, "again")).To(Equal(first))
+	})
+
+	It("are found behind targets that came and left since they opened", func() {
+		d := newOpaqueDeployment(1, 2)
+		c := d.newCaller(through(d.balancers[0]))
+		open(c)
+		first := ask(c, "before")
+		for range 6 {
+			d.addTarget("lines")
+		}
+		d.awaitReady()
+		for i := range 5 {
+			Expect(ask(c, fmt.Sprintf("after %d", i))).To(Equal(first))
+		}
+	})
+
+	It("go to no target that drains, from the acknowledgement on", func() {
+		d := newOpaqueDeployment(1, 3)
+		kept := d.newCaller(through(d.balancers[0]))
+		open(kept)
+		first := ask(kept, "kept 0")
+		// The balancers do not hear of the drain: the agent alone has to hold to it.
+		d.store.Disturb("", standin.Busy)
+		var leaving *standin.Target
+		for _, t := range d.targets {
+			if t.Name == first {
+				leaving = t
+			}
+		}
+		Expect(leaving.Drain()).To(Succeed())
+		before := leaving.Openings()
+		for i := range 30 {
+			c := d.newCaller(through(d.balancers[0]))
+			open(c)
+			Expect(ask(c, fmt.Sprintf("new %d", i))).NotTo(Equal(first))
+			c.Close()
+		}
+		Expect(leaving.Openings()).To(Equal(before))
+		Expect(ask(kept, "kept 1")).To(Equal(first))
+	})
+
+	It("of a target that crashed end with a reset once it is back", func() {
+		d := newOpaqueDeployment(1, 1)
+		c := d.newCaller(through(d.balancers[0]))
+		open(c)
+		ask(c, "before")
+		d.targets[0].Crash()
+		time.Sleep(5 * time.Millisecond) // a later start time tells the incarnations apart
+		d.startTarget(d.agents[0].ip, "lines")
+		_, err := c.Ask("after")
+		Expect(err).To(MatchError(standin.ErrReset))
+		open(c)
+		ask(c, "again")
+	})
+
+	It("never reach another service that has taken over an address", func() {
+		d := newOpaqueDeployment(1, 1)
+		c := d.newCaller(through(d.balancers[0]))
+		open(c)
+		ask(c, "before")
+		// The balancer does not hear of the change: it goes on sending to the address.
+		d.store.Disturb("", standin.Busy)
+		d.targets[0].Crash()
+		d.agents[0].kill()
+		d.agents = append(d.agents, d.startAgent(d.agents[0].ip, "archive"))
+		other := d.startTarget(d.agents[0].ip, "archive")
+		Eventually(func() error { return other.Drain() }).WithTimeout(patience).Should(Succeed())
+		_, err := c.Ask("after")
+		Expect(err).To(HaveOccurred())
+		Expect(c.Open()).NotTo(Succeed())
+		Expect(other.Openings()).To(BeZero())
+		Expect(other.Runs("after")).To(BeZero())
+	})
+
+	It("follow the operator's routes while the store serves only some balancers", func() {
+		d := newOpaqueDeployment(2, 1)
+		cut := d.balancers[1]
+		// Calls on loopback come from 127.0.0.1 for every process, so the second balancer loses the store by a restart
+		// while the store is down, and learns what it needs from the first.
+		d.store.Disturb("", standin.Reset)
+		cut.restart()
+		Eventually(func() bool { return d.isReady(cut) }).WithTimeout(patience).Should(BeTrue())
+		c := d.newCaller(through(cut))
+		open(c)
+		ask(c, "in the outage")
+		Expect(cut.logText()).To(ContainSubstring(`"source":"` + d.at(d.balancers[0].ip, opaquePortPeer).String()))
+	})
+
+	It("of a dropped route are refused at once, of an added one served", func() {
+		d := newOpaqueDeployment(1, 1)
+		c := d.newCaller(through(d.balancers[0]))
+		d.configure(map[netip.AddrPort]string{netip.MustParseAddrPort("198.18.0.9:443"): "lines"})
+		Eventually(c.Open).WithTimeout(patience).Should(MatchError(standin.ErrReset))
+		d.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
+		Eventually(c.Open).WithTimeout(patience).Should(Succeed())
+	})
+
+	It("go on through a planned stop of their balancer until routers have noticed", func() {
+		d := newOpaqueDeployment(1, 1)
+		c := d.newCaller(through(d.balancers[0]))
+		open(c)
+		d.balancers[0].signal(syscall.SIGTERM)
+		Eventually(func() bool { return d.isReady(d.balancers[0]) }).WithTimeout(patience).Should(BeFalse())
+		Expect(d.balancers[0].command.ProcessState).To(BeNil(), "it forwards for the linger time")
+		ask(c, "during the stop")
+		Eventually(d.balancers[0].ended).WithTimeout(patience).Should(BeClosed())
+	})
+
+	It("are reset when no target is left to take them", func() {
+		d := newOpaqueDeployment(1, 1)
+		Expect(d.targets[0].Drain()).To(Succeed())
+		c := d.newCaller(through(d.balancers[0]))
+		Expect(c.Open()).To(MatchError(standin.ErrReset))
+	})
+})
