--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,10 @@
 
 # Time for each fuzz target.
 FUZZTIME ?= 20s
-FUZZ_TARGETS := connid:FuzzDecode packet:FuzzParse envelope:FuzzOpen keys:FuzzParse frame:FuzzRead \
-  tables:FuzzParse revision:FuzzDecodeHead revision:FuzzApply
+FUZZ_TARGETS := internal/connid:FuzzDecode internal/packet:FuzzParse internal/envelope:FuzzOpen internal/keys:FuzzParse \
+  internal/frame:FuzzRead internal/tables:FuzzParse internal/revision:FuzzDecodeHead internal/revision:FuzzApply \
+  internal/opaque/hop:FuzzDecode internal/opaque/registry:FuzzDecode \
+  platform:FuzzDecodePacket platform:FuzzDecodeConfiguration platform:FuzzHeartbeat
 
 # Benchmarks, their output and its JSON.
 BENCHTIME ?= 200ms
@@ -34,7 +36,7 @@
 
 # The packages in which several duties meet.
 race:
-	go test -race -count=1 $(SKIP_GO) ./internal/...
+	go test -race -count=1 $(SKIP_GO) ./internal/... ./platform/...
 
 lint:
 	go vet ./...
@@ -56,11 +58,11 @@
 # Each decoder is fuzzed for FUZZTIME, one after the other.
 fuzz:
 	@for target in $(FUZZ_TARGETS); do \
-	  go test ./internal/$${target%%:*} -run '^$$' -fuzz "^$${target##*:}\$$" -fuzztime $(FUZZTIME) -parallel 2 || exit 1; \
+	  go test ./$${target%%:*} -run '^$$' -fuzz "^$${target##*:}\$$" -fuzztime $(FUZZTIME) -parallel 2 || exit 1; \
 	done
 
 format:
-	gofmt -w cmd internal integration
+	gofmt -w cmd internal integration platform
 
 docs:
 	go test ./internal/events -run TestEventsPageIsCurrent -update-events
--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"net/http"
 	"net/netip"
 
 	"gentianswitch/internal/keys"
@@ -75,7 +74,7 @@
 	return opaqueProcess{sidecar.New(s, sidecar.Parts{
 		Codec:           platform.Packets{},
 		Store:           platform.NewStore(o.store, metrics.StoreCalls(parts.Scope)),
-		AnnounceHandler: func(to sidecar.Announcements) http.Handler { return platform.HeartbeatHandler(to) },
+		AnnounceHandler: platform.HeartbeatHandler,
 		Log:             parts.Log, Scope: parts.Scope,
 	})}, nil
 }
--- a/cmd/gentian-balancer/opaque.go
+++ b/cmd/gentian-balancer/opaque.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -76,7 +75,7 @@
 		Configuration: forwarder.Configuration{
 			Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
 		},
-		ReadyHandler: func(isReady func() bool) http.Handler { return platform.ReadyHandler(isReady) },
+		ReadyHandler: platform.ReadyHandler,
 		Log:          parts.Log, Scope: parts.Scope,
 	})}, nil
 }
--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -116,11 +116,11 @@
 }
 
 // addTarget starts a VM with an agent and a target of a service.
-func (d *opaqueDeployment) addTarget(service string) (*opaqueProcess, *standin.Target) {
+func (d *opaqueDeployment) addTarget(service string) {
 	ip := d.newIP()
 	p := d.startAgent(ip, service)
 	d.agents = append(d.agents, p)
-	return p, d.startTarget(ip, service)
+	d.startTarget(ip, service)
 }
 
 func (d *opaqueDeployment) startAgent(ip netip.Addr, service string) *opaqueProcess {
--- a/internal/events/queue.go
+++ b/internal/events/queue.go
@@ -13,12 +13,13 @@
 type Queue struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewQueue returns a queue in front of out.
 func NewQueue(out io.Writer) *Queue {
-	q := &Queue{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	q := &Queue{lines: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.run(out)
 	return q
 }
@@ -36,18 +37,39 @@
 // TakeDropped returns the number of lines dropped since the last call.
 func (q *Queue) TakeDropped() uint64 { return q.dropped.Swap(0) }
 
-// Close ends the queue after the lines that wait have been written. Nothing may be written after it.
+// Close writes the lines that wait and returns. Lines that come later are not written.
 func (q *Queue) Close() {
-	close(q.lines)
+	close(q.closing)
 	<-q.done
 }
 
 func (q *Queue) run(out io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		// A log that cannot be written has no other place to be reported; the lines are lost like those of a full queue.
-		if _, err := out.Write(line); err != nil {
-			q.dropped.Add(1)
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(out, line)
+		case <-q.closing:
+			q.drain(out)
+			return
 		}
 	}
 }
+
+func (q *Queue) drain(out io.Writer) {
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(out, line)
+		default:
+			return
+		}
+	}
+}
+
+// write writes one line. A log that cannot be written has no other place to be reported; its lines count as dropped.
+func (q *Queue) write(out io.Writer, line []byte) {
+	if _, err := out.Write(line); err != nil {
+		q.dropped.Add(1)
+	}
+}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -10,8 +10,9 @@
 
 // The kinds of metrics.
 const (
-	Counter Kind = "counter"
-	Gauge   Kind = "gauge"
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
 )
 
 // Names of the programs as they start the names of their metrics.
@@ -58,6 +59,27 @@
 	{Agent, "relayed", Counter, "", "requests", "Requests given to another agent of the pool before they were run."},
 	{Agent, "uncovered_keys", Counter, "", "requests", "Requests with an idempotency key in a pool too large to claim keys in; repeats may run again."},
 	{Agent, "cut_feeds", Counter, "", "feeds", "Feeds that a forced end has cut."},
+	{Balancer, "opaque_packets", Counter, "verdict", "packets", "Callers' packets of opaque flows by the decision: forward, reset, drop, confirm."},
+	{Balancer, "opaque_malformed", Counter, "", "datagrams", "Datagrams that are no packet of the platform or no frame of an agent."},
+	{Balancer, "opaque_send_failed", Counter, "", "datagrams", "Refused by the kernel when sent."},
+	{Balancer, "opaque_located", Counter, "", "hints", "Hints of agents that hold a flow behind its first candidate."},
+	{Balancer, "opaque_held_dropped", Counter, "", "packets", "Packets that found no place among those that wait for a confirmation."},
+	{Balancer, "opaque_configuration", Gauge, "", "version", "Version of the operators' configuration in force."},
+	{Balancer, "opaque_targets", Gauge, "state", "targets", "Known targets by the state of their agent: reachable, suspect, dead."},
+	{Balancer, "opaque_store_age", Gauge, "", "seconds", "Time since the last answer of the store."},
+	{Balancer, "opaque_walk", Histogram, "", "candidates", "Candidates that had declined a packet when it came back to the balancer."},
+	{Balancer, "store_calls", Counter, "call, outcome", "calls", "Calls to the platform's store: read, list, follow, replace; ok or failed."},
+	{Balancer, "store_latency", Histogram, "call, outcome", "seconds", "Duration of calls to the store; follow waits for changes for up to 2.5 s."},
+	{Balancer, "log_lines_dropped", Counter, "", "lines", "Log lines left out, since their reader was too slow."},
+	{Agent, "opaque_packets", Counter, "verdict", "packets", "Packets of opaque flows by the decision: deliver, pass_on, give_back, answer, drop, wait."},
+	{Agent, "opaque_malformed", Counter, "", "datagrams", "Datagrams that are no packet of the platform or no frame."},
+	{Agent, "opaque_send_failed", Counter, "", "datagrams", "Refused by the kernel when sent."},
+	{Agent, "opaque_flows", Gauge, "", "flows", "Flows that the target holds."},
+	{Agent, "opaque_waiting", Gauge, "", "flows", "Openings that wait for room at the target."},
+	{Agent, "opaque_opening_wait", Histogram, "", "seconds", "Time that openings waited for room."},
+	{Agent, "store_calls", Counter, "call, outcome", "calls", "Calls to the platform's store: read, replace; ok or failed."},
+	{Agent, "store_latency", Histogram, "call, outcome", "seconds", "Duration of calls to the store."},
+	{Agent, "log_lines_dropped", Counter, "", "lines", "Log lines left out, since their reader was too slow."},
 	{Agent, "cut_requests", Counter, "", "requests", "Requests that a forced end has cut."},
 }
 
--- a/internal/metrics/catalogue_test.go
+++ b/internal/metrics/catalogue_test.go
@@ -32,7 +32,11 @@
 }
 
 func TestCatalogueMatchesTheCode(t *testing.T) {
-	for program, directory := range map[string]string{metrics.Balancer: "../balancer", metrics.Agent: "../agent"} {
+	shared := []string{".", "../program"}
+	for program, directories := range map[string][]string{
+		metrics.Balancer: append([]string{"../balancer", "../opaque/forwarder"}, shared...),
+		metrics.Agent:    append([]string{"../agent", "../opaque/sidecar"}, shared...),
+	} {
 		var listed []string
 		for _, m := range metrics.Catalogue {
 			if m.Program == program {
@@ -43,8 +47,13 @@
 			}
 		}
 		slices.Sort(listed)
-		if used := used(t, directory); !slices.Equal(used, listed) {
-			t.Errorf("%s uses\n%v\nand the catalogue lists\n%v", directory, used, listed)
+		var all []string
+		for _, directory := range directories {
+			all = append(all, used(t, directory)...)
+		}
+		slices.Sort(all)
+		if all = slices.Compact(all); !slices.Equal(all, listed) {
+			t.Errorf("%v use\n%v\nand the catalogue lists\n%v", directories, all, listed)
 		}
 	}
 }
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -54,6 +54,9 @@
 			}
 			isLost = false
 			retry.Reset()
+			f.mu.Lock()
+			f.storeHeardAt = time.Now()
+			f.mu.Unlock()
 			sleep(ctx, followSpacing-time.Since(started))
 			continue
 		case ctx.Err() != nil:
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -72,6 +72,8 @@
 	directory *directory.Directory
 	// isListed is set once the targets have been read.
 	isListed bool
+	// storeHeardAt is when the store has answered last.
+	storeHeardAt time.Time
 	// document is the configuration in force as the store held it.
 	document store.Item
 
@@ -79,6 +81,8 @@
 	informed chan struct{}
 	// ahead are balancers that hold a later configuration.
 	ahead *ring.Ring[hop.IP]
+	// heldReported is the number of dropped held packets in the metrics. Only the duty report uses it.
+	heldReported int64
 	// held are packets that wait for the confirmation that no target holds their flow.
 	held *ring.Ring[heldPacket]
 
@@ -111,6 +115,7 @@
 	group.Go("follow", f.follow)
 	group.Go("confirm", f.confirmAll)
 	group.Go("readiness", f.serveReadiness)
+	group.Go("report", f.reportAll)
 	group.Go("seeds", f.askSeeds)
 	group.Go("catch up", f.catchUp)
 	group.Go("handover", func(ctx context.Context) error { return handover.Serve(ctx, f.settings.Peer, f.state) })
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -133,6 +133,7 @@
 		return
 	}
 	f.mu.Lock()
+	f.counters.walk.RecordValue(float64(h.Walked))
 	d := f.steer.Returned(now, &p, int(h.Walked))
 	f.mu.Unlock()
 	if d.Verdict == steer.Confirm {
@@ -150,6 +151,7 @@
 	f.mu.Lock()
 	f.steer.Locate(now, id, agent, service)
 	f.mu.Unlock()
+	f.counters.located.Inc(1)
 	f.parts.Log.Emit(events.OpaqueFlowLocated, events.F("flow", id.String()), events.F("agent", ipText(agent)))
 }
 
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -1,11 +1,14 @@
 package forwarder
 
 import (
+	"context"
 	"net/netip"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/directory"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/steer"
@@ -15,16 +18,67 @@
 type counters struct {
 	forwarded, reset, dropped tally.Counter
 	malformed, sendFailed     tally.Counter
+	located, heldDropped      tally.Counter
+	configuration, storeAge   tally.Gauge
+	targets                   [directory.Dead + 1]tally.Gauge
+	walk                      tally.Histogram
 }
 
+// walkBuckets are the bounds of the histogram of walks: a frame holds eight candidates.
+var walkBuckets = tally.ValueBuckets{1, 2, 4, 8, 16, 32, 64}
+
 func newCounters(scope tally.Scope) counters {
 	verdict := func(v steer.Verdict) tally.Counter {
 		return scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
 	}
-	return counters{
+	c := counters{
 		forwarded: verdict(steer.Forward), reset: verdict(steer.Reset), dropped: verdict(steer.Drop),
 		malformed:  scope.Counter("opaque_malformed"),
 		sendFailed: scope.Counter("opaque_send_failed"),
+		located:    scope.Counter("opaque_located"), heldDropped: scope.Counter("opaque_held_dropped"),
+		configuration: scope.Gauge("opaque_configuration"), storeAge: scope.Gauge("opaque_store_age"),
+		walk: scope.Histogram("opaque_walk", walkBuckets),
+	}
+	for state := range c.targets {
+		tags := map[string]string{"state": directory.Reachability(state).String()}
+		c.targets[state] = scope.Tagged(tags).Gauge("opaque_targets")
+	}
+	return c
+}
+
+// reportInterval is the time between two updates of gauges: that of a scrape at most.
+const reportInterval = 5 * time.Second
+
+// reportAll updates the gauges until ctx ends.
+func (f *Forwarder) reportAll(ctx context.Context) error {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			f.report(now)
+		}
+	}
+}
+
+func (f *Forwarder) report(now time.Time) {
+	f.counters.configuration.Update(float64(f.version()))
+	f.counters.heldDropped.Inc(int64(f.held.Dropped()) - f.heldReported)
+	f.heldReported = int64(f.held.Dropped())
+	var states [directory.Dead + 1]float64
+	f.mu.Lock()
+	for _, t := range f.directory.Targets() {
+		states[t.State]++
+	}
+	heardAt := f.storeHeardAt
+	f.mu.Unlock()
+	for state, count := range states {
+		f.counters.targets[state].Update(count)
+	}
+	if !heardAt.IsZero() {
+		f.counters.storeAge.Update(now.Sub(heardAt).Seconds())
 	}
 }
 
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -303,7 +303,7 @@
 }
 
 func (r *Resident) bounced(p *flow.Packet) Decision {
-	if f := r.flows[p.FromCaller()]; f != nil && !(p.Opens && f.isAccepted) {
+	if f := r.flows[p.FromCaller()]; f != nil && (!p.Opens || !f.isAccepted) {
 		r.forget(p.FromCaller(), f)
 	}
 	m := &r.marks[p.Mark%markSlots]
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"gentianswitch/internal/opaque/resident"
@@ -10,10 +12,21 @@
 type counters struct {
 	verdicts              [resident.Wait + 1]tally.Counter
 	malformed, sendFailed tally.Counter
+	flows, waiting        tally.Gauge
+	openingWait           tally.Histogram
+}
+
+// waitBuckets are the bounds of the histogram of waits: openings wait for at most 1.2 s.
+var waitBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, time.Second,
 }
 
 func newCounters(scope tally.Scope) counters {
-	c := counters{malformed: scope.Counter("opaque_malformed"), sendFailed: scope.Counter("opaque_send_failed")}
+	c := counters{
+		malformed: scope.Counter("opaque_malformed"), sendFailed: scope.Counter("opaque_send_failed"),
+		flows: scope.Gauge("opaque_flows"), waiting: scope.Gauge("opaque_waiting"),
+		openingWait: scope.Histogram("opaque_opening_wait", waitBuckets),
+	}
 	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
 	}
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -17,10 +17,11 @@
 	packet   flow.Packet
 	header   hop.Header
 	datagram []byte
+	since    time.Time
 }
 
 // newOpening copies a packet that has to wait.
-func newOpening(p *flow.Packet, h *hop.Header, datagram []byte) admission.Opening[opening] {
+func newOpening(now time.Time, p *flow.Packet, h *hop.Header, datagram []byte) admission.Opening[opening] {
 	// The copy has room for a trailer, in case the packet is passed on after all.
 	kept := append(make([]byte, 0, len(datagram)+hop.MaxTrailer), datagram...)
 	return admission.Opening[opening]{
@@ -28,7 +29,7 @@
 		Urgency: admission.Urgency{
 			Deferral: h.Deferral, Objective: time.Duration(h.Objective) * time.Millisecond,
 		},
-		Item: opening{packet: *p, header: *h, datagram: kept},
+		Item: opening{packet: *p, header: *h, datagram: kept, since: now},
 	}
 }
 
@@ -43,6 +44,7 @@
 		next, _ := s.openings.Next(now)
 		d := s.resident.Offer(now, next.ID, &next.Item.header)
 		s.mu.Unlock()
+		s.counters.openingWait.RecordDuration(now.Sub(next.Item.since))
 		s.carryOut(&next.Item.packet, d, next.Item.datagram)
 	}
 }
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -59,7 +59,7 @@
 	s.mu.Lock()
 	d := s.resident.FromNode(now, &p, h)
 	if d.Verdict == resident.Wait {
-		displaced, isDisplaced := s.openings.Add(now, newOpening(&p, h, datagram))
+		displaced, isDisplaced := s.openings.Add(now, newOpening(now, &p, h, datagram))
 		s.mu.Unlock()
 		s.counters.verdict(d.Verdict).Inc(1)
 		if isDisplaced {
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -147,7 +147,10 @@
 		case now := <-ticker.C:
 			s.mu.Lock()
 			s.resident.Sweep(now)
+			flows, waiting := s.resident.Flows(), s.openings.Len()
 			s.mu.Unlock()
+			s.counters.flows.Update(float64(flows))
+			s.counters.waiting.Update(float64(waiting))
 		}
 	}
 }
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -30,6 +31,8 @@
 	Credentials *control.Credentials
 	Log         *events.Logger
 	Scope       tally.Scope
+
+	lines *events.Queue
 }
 
 // Service describes a program that runs one process.
@@ -82,12 +85,14 @@
 	if err := s.Check(common); err != nil {
 		return Parts{}, err
 	}
-	log, err := events.NewLogger(events.NewQueue(os.Stdout), common.LogFormat, common.LogLevel)
+	lines := events.NewQueue(os.Stdout)
+	log, err := events.NewLogger(lines, common.LogFormat, common.LogLevel)
+	parts := Parts{Common: common, Log: log, lines: lines}
 	if err != nil || s.WithoutPeers {
-		return Parts{Common: common, Log: log}, err
+		return parts, err
 	}
-	set, credentials, err := common.Secrets()
-	return Parts{Common: common, Keys: set, Credentials: credentials, Log: log}, err
+	parts.Keys, parts.Credentials, err = common.Secrets()
+	return parts, err
 }
 
 func (s Service) run(parts Parts) int {
@@ -104,14 +109,37 @@
 	go func() { _ = stats.Serve(ended, parts.Common.Metrics) }()
 	parts.Log.Emit(events.ProcessStarted, events.F("program", s.Name), events.F("version", Version),
 		events.F("zone", parts.Common.Zone))
+	go parts.reportDropped(ended)
 	err = process.Run(graceful, force)
 	parts.Log.Emit(events.ProcessStopped, events.Err(err))
+	parts.lines.Close()
 	if err != nil {
 		return ExitFailed
 	}
 	return ExitOK
 }
 
+// droppedInterval is the time between two reports of log lines that were left out.
+const droppedInterval = time.Second
+
+// reportDropped tells of log lines that were left out, until ctx ends.
+func (p Parts) reportDropped(ctx context.Context) {
+	ticker := time.NewTicker(droppedInterval)
+	defer ticker.Stop()
+	counter := p.Scope.Counter("log_lines_dropped")
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if dropped := p.lines.TakeDropped(); dropped > 0 {
+				counter.Inc(int64(dropped))
+				p.Log.Emit(events.LogLinesDropped, events.F("lines", dropped))
+			}
+		}
+	}
+}
+
 // reload takes a SIGHUP. A process without keys has nothing to read again: its settings name its place on the VM.
 func (s Service) reload(parts Parts, process Process) {
 	if s.WithoutPeers {
