--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -50,7 +50,11 @@
 	ended   chan struct{}
 }
 
-var opaqueAddress = netip.MustParseAddrPort("198.18.0.1:443")
+// Addresses of routes; the second is less urgent.
+var (
+	opaqueAddress  = netip.MustParseAddrPort("198.18.0.1:443")
+	opaqueDeferred = netip.MustParseAddrPort("198.18.0.1:8443")
+)
 
 // newOpaqueDeployment starts a deployment whose route leads to the service "lines".
 func newOpaqueDeployment(balancers, targets int) *opaqueDeployment {
@@ -90,9 +94,13 @@
 	d.version += 3
 	list := []map[string]any{}
 	for address, service := range routes {
+		priority := 1
+		if address == opaqueDeferred {
+			priority = 2
+		}
 		list = append(list, map[string]any{
 			"name": "r-" + service, "hostname": address.Addr().String(), "prefix": fmt.Sprintf("/%d/", address.Port()),
-			"type": "unsafe", "timeout_ms": 3000, "goal_ms": 250, "priority": 1, "service": service,
+			"type": "unsafe", "timeout_ms": 3000, "goal_ms": 250, "priority": priority, "service": service,
 		})
 	}
 	raw, err := json.Marshal(map[string]any{"version": d.version, "routes": list})
@@ -166,9 +174,13 @@
 
 // newCaller returns a caller whose packets all go to the balancer that the router returns.
 func (d *opaqueDeployment) newCaller(router func() *opaqueProcess) *standin.Caller {
+	return d.newCallerOf(opaqueAddress, router)
+}
+
+func (d *opaqueDeployment) newCallerOf(address netip.AddrPort, router func() *opaqueProcess) *standin.Caller {
 	d.callers++
 	ip := netip.AddrFrom4([4]byte{127, 20, byte(GinkgoParallelProcess()), byte(d.callers)})
-	c, err := standin.NewCaller(ip, d.firstPort+opaquePortData, opaqueAddress, func() netip.AddrPort {
+	c, err := standin.NewCaller(ip, d.firstPort+opaquePortData, address, func() netip.AddrPort {
 		return d.at(router().ip, opaquePortData)
 	})
 	Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/integration/opaque_explain_test.go
@@ -0,0 +1,108 @@
+package integration
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/platform/standin"
+)
+
+// operationsPage holds the commands that lead from a failed request to its cause.
+const operationsPage = "../docs/OPERATIONS.md"
+
+// pageCommand returns the command of the page that stands behind a marker, with the flow and agent put in.
+func pageCommand(marker string, values map[string]string) string {
+	GinkgoHelper()
+	raw, err := os.ReadFile(operationsPage)
+	Expect(err).NotTo(HaveOccurred())
+	found := regexp.MustCompile(`(?m)^    (grep .*)# ` + marker + `$`).FindStringSubmatch(string(raw))
+	Expect(found).NotTo(BeNil(), "the page has no command %q", marker)
+	command := found[1]
+	for name, value := range values {
+		command = strings.ReplaceAll(command, name, value)
+	}
+	return command
+}
+
+// runPageCommand runs a command of the page in the directory of the logs.
+func runPageCommand(d *opaqueDeployment, marker string, values map[string]string) string {
+	GinkgoHelper()
+	dir := GinkgoT().TempDir()
+	for i, p := range append(append([]*opaqueProcess{}, d.balancers...), d.agents...) {
+		name := filepath.Join(dir, fmt.Sprintf("%02d-%s.log", i, p.ip))
+		Expect(os.WriteFile(name, []byte(p.logText()), 0o600)).To(Succeed())
+	}
+	command := exec.Command("sh", "-c", pageCommand(marker, values))
+	command.Dir = dir
+	// grep exits with 1 when nothing matches; the caller looks at the output.
+	output, _ := command.Output()
+	return string(output)
+}
+
+var _ = Describe("The operators' page leads to the cause of", func() {
+	It("a flow whose target died", func() {
+		d := newOpaqueDeployment(1, 2)
+		c := d.newCaller(through(d.balancers[0]))
+		Expect(c.Open()).To(Succeed())
+		first, err := c.Ask("before")
+		Expect(err).NotTo(HaveOccurred())
+		for i, t := range d.targets {
+			if t.Name == first {
+				t.Crash()
+				time.Sleep(5 * time.Millisecond) // a later start time tells the incarnations apart
+				d.startTarget(d.agents[i].ip, "lines")
+				break
+			}
+		}
+		_, err = c.Ask("after")
+		Expect(err).To(MatchError(standin.ErrReset))
+		values := map[string]string{"FLOW": c.Flow()}
+		Eventually(func() string { return runPageCommand(d, "trail", values) }).WithTimeout(patience).Should(And(
+			ContainSubstring("opaque flow placed"),
+			ContainSubstring(`"former":"`+first+`"`),
+		))
+		Expect(runPageCommand(d, "target", map[string]string{"INSTANCE": first})).To(ContainSubstring("target state"))
+	})
+
+	It("a flow that was refused in an overload", func() {
+		d := newOpaqueDeployment(1, 1)
+		d.configure(map[netip.AddrPort]string{opaqueAddress: "lines", opaqueDeferred: "lines"})
+		Eventually(func() string { return d.balancers[0].logText() }).WithTimeout(patience).
+			Should(ContainSubstring(`"configuration":6`))
+		for i := range 10 {
+			busy := d.newCaller(through(d.balancers[0]))
+			Expect(busy.Open()).To(Succeed())
+			go func() { _, _ = busy.Ask(fmt.Sprint(standin.Stalled, i)) }()
+		}
+		Eventually(func() int { return d.targets[0].Runs(standin.Stalled + "9") }).WithTimeout(patience).Should(BeNumerically(">", 0))
+		c := d.newCallerOf(opaqueDeferred, through(d.balancers[0]))
+		Expect(c.Open()).To(MatchError(standin.ErrReset))
+		Eventually(func() string { return runPageCommand(d, "trail", map[string]string{"FLOW": c.Flow()}) }).
+			WithTimeout(patience).Should(And(
+			ContainSubstring(`"msg":"opaque flow waits"`),
+			ContainSubstring(`"reason":"busy"`),
+			ContainSubstring(`"msg":"opaque flow reset"`),
+		))
+	})
+
+	It("a flow that met an old configuration while the store was out", func() {
+		d := newOpaqueDeployment(1, 1)
+		d.store.Disturb("", standin.Reset)
+		d.configure(map[netip.AddrPort]string{opaqueAddress: "lines", opaqueDeferred: "lines"})
+		c := d.newCallerOf(opaqueDeferred, through(d.balancers[0]))
+		Expect(c.Open()).To(MatchError(standin.ErrReset))
+		Eventually(func() string { return runPageCommand(d, "trail", map[string]string{"FLOW": c.Flow()}) }).
+			WithTimeout(patience).Should(And(ContainSubstring(`"reason":"no_route"`), ContainSubstring(`"configuration":3`)))
+		Eventually(func() string { return runPageCommand(d, "configuration", nil) }).
+			WithTimeout(patience).Should(And(ContainSubstring("configuration applied"), ContainSubstring("store unavailable")))
+	})
+})
--- a/internal/events/logger.go
+++ b/internal/events/logger.go
@@ -49,7 +49,8 @@
 	l.SetLevel(parsed)
 	switch format {
 	case FormatJSON:
-		l.SetFormatter(&logrus.JSONFormatter{})
+		// Flows are written as caller>address; operators search for them as they are.
+		l.SetFormatter(&logrus.JSONFormatter{DisableHTMLEscape: true})
 	case FormatText:
 		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	default:
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -19,6 +19,13 @@
 	OpaqueFlowsLost = define(214, logrus.WarnLevel, "opaque flows lost",
 		"The target has ended and started again; the callers of its open flows were told.",
 		"instance", "flows")
+	OpaqueFlowEnded = define(217, logrus.InfoLevel, "opaque flow ended with its target",
+		"The target has started again and no longer holds a flow that it has served. With an instance, the agent has told the "+
+			"caller; without, other targets are asked first. Whether the flow's last request has run is not known.",
+		"flow", "former", "instance")
+	OpaqueFlowWaits = define(218, logrus.InfoLevel, "opaque flow waits",
+		"An opening of a less urgent route waits at the agent, since twice as many flows as slots wait for the target.",
+		"flow", "copies", "deferral", "waiting", "busy", "slots")
 	OpaquePacketsHeldLost = define(216, logrus.WarnLevel, "opaque packets given up",
 		"No candidate holds the flows of these packets, and the store could not confirm that no target does; nothing was reset.",
 		"packets", "error")
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -48,12 +48,13 @@
 	Bounced
 	Stale
 	Busy
+	Forgotten
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
-		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy",
+		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy", "forgotten",
 	}[r]
 }
 
@@ -106,6 +107,8 @@
 	hasSent bool
 	// isAccepted is set once the target has accepted the flow, isOpen once the caller has said so.
 	isAccepted, isOpen bool
+	// isServed is set once the target has sent something on the open flow.
+	isServed bool
 	// isWaiting is set while the caller waits for the target: for its first answer after the handshake, or for the answer
 	// to the data that it has sent.
 	isWaiting bool
@@ -196,6 +199,12 @@
 	return !r.target.isKnown || r.waiting < roomFactor*max(r.target.last.Slots, 1)
 }
 
+// Instance returns the instance of the target that was heard of last, or an empty text.
+func (r *Resident) Instance() string { return r.target.last.Instance }
+
+// Load returns the number of flows that wait for the target, and its slots.
+func (r *Resident) Load() (waiting, slots int) { return r.waiting, r.target.last.Slots }
+
 // remember keeps the header of a delivered packet until the target may have bounced it.
 func (r *Resident) remember(h *hop.Header) uint32 {
 	r.sequence++
@@ -279,7 +288,7 @@
 }
 
 func (r *Resident) answered(now time.Time, f *held, p *flow.Packet) {
-	f.seen = now
+	f.seen, f.isServed = now, f.isOpen
 	if p.Payload > 0 || p.Finishes {
 		r.setWaiting(f, false)
 	}
@@ -303,7 +312,11 @@
 }
 
 func (r *Resident) bounced(p *flow.Packet) Decision {
+	reason := Bounced
 	if f := r.flows[p.FromCaller()]; f != nil && (!p.Opens || !f.isAccepted) {
+		if f.isServed {
+			reason = Forgotten
+		}
 		r.forget(p.FromCaller(), f)
 	}
 	m := &r.marks[p.Mark%markSlots]
@@ -311,7 +324,7 @@
 		return Decision{Verdict: Drop, Reason: Stale}
 	}
 	m.sequence = 0
-	return decline(&m.header, Bounced)
+	return decline(&m.header, reason)
 }
 
 func decline(h *hop.Header, reason Reason) Decision {
--- a/internal/opaque/resident/resident_test.go
+++ b/internal/opaque/resident/resident_test.go
@@ -310,3 +310,21 @@
 	}
 	g.Expect(r.Flows()).To(Equal(4096))
 }
+
+func TestAFlowThatItsTargetForgotIsToldFromOneThatItNeverHeld(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, start, 1)
+	r.FromTarget(start, answer(1))
+	bounced := data(1, 100)
+	bounced.Mark = r.FromNode(start, data(1, 100), frame(next)).Mark
+	bounced.IsBounced = true
+	g.Expect(r.FromTarget(start, bounced).Reason).To(Equal(resident.Forgotten))
+
+	r.FromNode(start, opening(2), frame(next))
+	r.FromTarget(start, accept(2))
+	elsewhere := data(2, 1)
+	elsewhere.Mark = r.FromNode(start, data(2, 1), frame(next)).Mark
+	elsewhere.IsBounced = true
+	g.Expect(r.FromTarget(start, elsewhere).Reason).To(Equal(resident.Bounced), "its caller chose another target")
+}
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -71,8 +71,9 @@
 	IsStale bool
 	// HasChanged is set when the entry of the target has to be written anew.
 	HasChanged bool
-	// Ended are flows that ended with an earlier incarnation of the target.
-	Ended []Ended
+	// Ended are flows that ended with an earlier incarnation of the target, whose instance is Former.
+	Ended  []Ended
+	Former string
 }
 
 // Heartbeat takes a heartbeat of the target.
@@ -85,10 +86,10 @@
 	if t.isKnown && t.isNewIncarnation(h) {
 		ended = r.lost()
 	}
-	before := r.Entry()
+	before, former := r.Entry(), t.last.Instance
 	t.last, t.isKnown, t.hasLeft = h, true, false
 	t.heard(now)
-	return Outcome{HasChanged: before != r.Entry(), Ended: ended}
+	return Outcome{HasChanged: before != r.Entry(), Ended: ended, Former: former}
 }
 
 func (t *target) isNewIncarnation(h Heartbeat) bool {
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -32,7 +32,7 @@
 			events.F("sequence", h.Sequence), events.F("service", h.Service), events.F("slots", h.Slots),
 			events.F("draining", h.IsDraining))
 	}
-	s.resetAll(h.Instance, outcome.Ended)
+	s.resetAll(h.Instance, outcome)
 	return err
 }
 
@@ -77,22 +77,20 @@
 }
 
 // resetAll tells the callers of flows that ended with their target.
-func (s *Sidecar) resetAll(instance string, ended []resident.Ended) {
-	if len(ended) == 0 {
+func (s *Sidecar) resetAll(instance string, outcome resident.Outcome) {
+	if len(outcome.Ended) == 0 {
 		return
 	}
-	s.parts.Log.Emit(events.OpaqueFlowsLost, events.F("instance", instance), events.F("flows", len(ended)))
+	s.parts.Log.Emit(events.OpaqueFlowsLost, events.F("instance", outcome.Former), events.F("flows", len(outcome.Ended)))
 	var buffer [64]byte
-	for _, e := range ended {
-		s.reset(buffer[:0], e)
+	for _, e := range outcome.Ended {
+		s.parts.Log.Emit(events.OpaqueFlowEnded, events.F("flow", e.ID.String()), events.F("former", outcome.Former),
+			events.F("instance", instance))
+		packet := s.parts.Codec.AppendReset(buffer[:0], e.ID, e.Acknowledged)
+		s.write(packet, callerAddress(e.ID, s.settings.Data.Port()))
 	}
 }
 
-func (s *Sidecar) reset(buffer []byte, e resident.Ended) {
-	packet := s.parts.Codec.AppendReset(buffer, e.ID, e.Acknowledged)
-	s.write(packet, callerAddress(e.ID, s.settings.Data.Port()))
-}
-
 func callerAddress(id flow.ID, port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4(id.Caller.IP), port)
 }
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -60,6 +60,7 @@
 	d := s.resident.FromNode(now, &p, h)
 	if d.Verdict == resident.Wait {
 		displaced, isDisplaced := s.openings.Add(now, newOpening(now, &p, h, datagram))
+		s.logWaits(&p, h)
 		s.mu.Unlock()
 		s.counters.verdict(d.Verdict).Inc(1)
 		if isDisplaced {
@@ -129,6 +130,9 @@
 }
 
 func (s *Sidecar) logPassedOn(p *flow.Packet, d resident.Decision) {
+	if d.Reason == resident.Forgotten {
+		s.logForgotten(p)
+	}
 	if !p.Opens {
 		return
 	}
@@ -139,3 +143,19 @@
 	s.parts.Log.Emit(events.OpaqueFlowPassedOn, events.F("flow", p.FromCaller().String()), events.F("next", next),
 		events.F("reason", d.Reason.String()), events.F("hops", d.Header.Hops))
 }
+
+// logForgotten tells that the target no longer holds a flow that it has served.
+func (s *Sidecar) logForgotten(p *flow.Packet) {
+	s.mu.Lock()
+	instance := s.resident.Instance()
+	s.mu.Unlock()
+	s.parts.Log.Emit(events.OpaqueFlowEnded, events.F("flow", p.FromCaller().String()), events.F("former", instance))
+}
+
+// logWaits tells that an opening waits. The caller holds mu.
+func (s *Sidecar) logWaits(p *flow.Packet, h *hop.Header) {
+	busy, slots := s.resident.Load()
+	s.parts.Log.Emit(events.OpaqueFlowWaits, events.F("flow", p.FromCaller().String()), events.F("copies", p.Copies),
+		events.F("deferral", h.Deferral), events.F("waiting", s.openings.Len()), events.F("busy", busy),
+		events.F("slots", slots))
+}
