Begin a walk anew when the view has changed; confirm before a repeated opening is reset

Cause: random histories of the decisions (internal/opaque/proof) found four ways to reset a flow that lives. A target added during a walk stood before those that were asked, and the walk went on behind it. A copy of an opening met a draining target whose agent had just restarted, or a balancer with an old view. Change: frames carry the epoch of the view in which the walk began; a repeated opening that all decline is confirmed like an open flow, and dropped when an agent that has just started cannot rule out that its target accepted it. Two findings were the test's own: openings that were half open before the drain. Also: the error of the metrics server was swallowed; it is logged now.

--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -12,6 +12,8 @@
 		"The process ends. The key error is present when a duty failed.", "error")
 	KeysLoaded = define(103, logrus.InfoLevel, "keys loaded",
 		"The key file was read again after SIGHUP. The key with the identifier current makes new output.", "current")
+	MetricsFailed = define(105, logrus.ErrorLevel, "metrics failed",
+		"The metrics cannot be served; the process goes on without them.", "error")
 	KeysRefused = define(104, logrus.ErrorLevel, "keys refused",
 		"The key file could not be read after SIGHUP; the former keys stay in force.", "error")
 )
--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -33,7 +33,11 @@
 }
 
 func order(d *directory.Directory, flow uint64, opens bool) []hop.IP {
-	out, _ := d.View().Order(service, flow, opens, 0, make([]hop.IP, 0, hop.MaxCandidates))
+	to := directory.OpenFlow
+	if opens {
+		to = directory.NewFlow
+	}
+	out, _ := d.View().Order(service, flow, to, 0, make([]hop.IP, 0, hop.MaxCandidates))
 	return out
 }
 
@@ -51,12 +55,12 @@
 	d := filled(20)
 	var all []hop.IP
 	for skip := 0; skip < 20; skip += hop.MaxCandidates {
-		part, total := d.View().Order(service, 42, false, skip, make([]hop.IP, 0, hop.MaxCandidates))
+		part, total := d.View().Order(service, 42, directory.OpenFlow, skip, make([]hop.IP, 0, hop.MaxCandidates))
 		g.Expect(total).To(Equal(20))
 		all = append(all, part...)
 	}
 	g.Expect(all).To(HaveLen(20))
-	whole, _ := d.View().Order(service, 42, false, 0, make([]hop.IP, 0, 20))
+	whole, _ := d.View().Order(service, 42, directory.OpenFlow, 0, make([]hop.IP, 0, 20))
 	g.Expect(all).To(Equal(whole))
 }
 
@@ -86,6 +90,8 @@
 	d.Put(start, open[0], draining, 100)
 	g.Expect(order(d, 42, false)).To(Equal(open))
 	g.Expect(order(d, 42, true)).To(Equal(open[1:]))
+	repeated, _ := d.View().Order(service, 42, directory.RepeatedOpening, 0, make([]hop.IP, 0, hop.MaxCandidates))
+	g.Expect(repeated).To(Equal([]hop.IP{open[1], open[2], open[0]}), "the flow may be open there already")
 }
 
 func TestSharesFollowSlotsAndTheZone(t *testing.T) {
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -10,6 +10,8 @@
 
 // View is an immutable state of the directory, arranged for decisions on packets.
 type View struct {
+	// Epoch changes with the view.
+	Epoch  uint16
 	pools  map[desired.ServiceKey][]Candidate
 	agents map[hop.IP]Reachability
 }
@@ -46,7 +48,7 @@
 			IsDraining: t.Entry.IsDraining, State: t.State,
 		})
 	}
-	d.view = &View{pools: pools, agents: agents}
+	d.view = &View{Epoch: d.view.Epoch + 1, pools: pools, agents: agents}
 }
 
 // scored is a candidate and its place in the order for one flow.
@@ -56,22 +58,36 @@
 	tier  uint8
 }
 
+// Audience tells for which packets of a flow candidates are wanted.
+type Audience uint8
+
+// The audiences.
+const (
+	// OpenFlow is for packets of a flow that may be open anywhere.
+	OpenFlow Audience = iota
+	// NewFlow is for the first packet of a flow, which targets that drain do not get.
+	NewFlow
+	// RepeatedOpening is for a copy of it. The flow may be open already, so targets that drain come last.
+	RepeatedOpening
+)
+
 // Order appends to out the agents of a service in the order in which a flow is offered to them, without the first skip,
 // up to the capacity of out. It also returns how many there are in all. The order follows from the flow, the set of
-// targets and the balancer's zone alone, so that balancers of a zone with the same view agree. Targets that do not answer come last. A flow that opens is
-// not offered to targets that drain.
-func (v *View) Order(service desired.ServiceKey, flow uint64, opens bool, skip int, out []hop.IP) ([]hop.IP, int) {
+// targets and the balancer's zone alone, so that balancers of a zone with the same view agree. Targets that do not answer come last.
+func (v *View) Order(service desired.ServiceKey, flow uint64, to Audience, skip int, out []hop.IP) ([]hop.IP, int) {
 	pool := v.pools[service]
 	var buffer [orderBuffer]scored
 	order := buffer[:0]
 	for i := range pool {
 		c := &pool[i]
-		if c.State == Dead || opens && c.IsDraining {
+		if c.State == Dead || to == NewFlow && c.IsDraining {
 			continue
 		}
-		order = append(order, scored{
-			agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: uint8(c.State),
-		})
+		tier := uint8(c.State)
+		if to == RepeatedOpening && c.IsDraining {
+			tier = uint8(Dead)
+		}
+		order = append(order, scored{agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: tier})
 	}
 	slices.SortFunc(order, compareScored)
 	for i := skip; i < len(order) && len(out) < cap(out); i++ {
--- a/internal/opaque/forwarder/confirm.go
+++ b/internal/opaque/forwarder/confirm.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/registry"
 )
 
@@ -17,15 +18,17 @@
 	confirmInterval = 50 * time.Millisecond
 )
 
-// heldPacket is a packet that walked candidates have declined.
+// heldPacket is a packet whose walk has ended in vain.
 type heldPacket struct {
 	datagram []byte
-	walked   int
+	header   hop.Header
 }
 
 // hold keeps a copy of a packet until the targets have been read anew.
-func (f *Forwarder) hold(datagram []byte, walked int) {
-	f.held.TryPut(heldPacket{datagram: append([]byte(nil), datagram...), walked: walked})
+func (f *Forwarder) hold(datagram []byte, h *hop.Header) {
+	// The copy has room for a trailer.
+	kept := append(make([]byte, 0, len(datagram)+hop.MaxTrailer), datagram...)
+	f.held.TryPut(heldPacket{datagram: kept, header: *h})
 }
 
 // confirmAll reads the targets when packets are held and decides on these packets, until ctx ends.
@@ -58,7 +61,7 @@
 			continue
 		}
 		f.mu.Lock()
-		d := f.steer.Confirmed(time.Now(), &p, h.walked)
+		d := f.steer.Confirmed(time.Now(), &p, &h.header)
 		f.mu.Unlock()
 		f.carryOut(&p, d, h.datagram)
 	}
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -55,7 +55,7 @@
 	case steer.Drop:
 		f.logDropped(p, d)
 	case steer.Confirm:
-		f.hold(datagram, int(d.Header.Walked))
+		f.hold(datagram, &d.Header)
 	}
 }
 
@@ -134,11 +134,8 @@
 	}
 	f.mu.Lock()
 	f.counters.walk.RecordValue(float64(h.Walked))
-	d := f.steer.Returned(now, &p, int(h.Walked))
+	d := f.steer.Returned(now, &p, h)
 	f.mu.Unlock()
-	if d.Verdict == steer.Confirm {
-		d.Header.Walked = h.Walked
-	}
 	f.carryOut(&p, d, datagram)
 }
 
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -31,9 +31,9 @@
 // Sizes of the trailer in bytes.
 const (
 	addressBytes = 4
-	// fixedBytes holds origin (4), service (8), sequence (2), objective (2), deferral (1), walked (1), hops (1),
+	// fixedBytes holds origin (4), service (8), sequence (2), epoch (2), objective (2), deferral (1), walked (1), hops (1),
 	// candidates (1) and kind (1).
-	fixedBytes = 21
+	fixedBytes = 23
 	// MaxTrailer is the size of the largest trailer.
 	MaxTrailer = fixedBytes + MaxCandidates*addressBytes
 )
@@ -50,6 +50,13 @@
 	Service uint64
 	// Sequence pairs a Pong with its Ping.
 	Sequence uint16
+	// Epoch is that of the balancer's view when the walk began.
+	Epoch uint16
+	// IsConfirmed is set when that view was read from the store after an earlier walk had ended in vain.
+	IsConfirmed bool
+	// MayBeOpen is set in a repeated opening when an agent that declined it cannot tell whether its target has accepted
+	// the flow before.
+	MayBeOpen bool
 	// Objective is the latency objective of the flow's route in milliseconds, and Deferral tells by how many steps the
 	// route is less urgent than the most urgent one. They are set in a frame that opens a flow.
 	Objective uint16
@@ -64,6 +71,12 @@
 	Candidates [MaxCandidates]IP
 }
 
+// Bits in the byte of the kind.
+const (
+	confirmedBit = 0x80
+	mayBeOpenBit = 0x40
+)
+
 // ErrMalformed means that a datagram is no frame.
 var ErrMalformed = eris.New("malformed frame")
 
@@ -75,8 +88,16 @@
 	frame = append(frame, h.Origin[:]...)
 	frame = binary.BigEndian.AppendUint64(frame, h.Service)
 	frame = binary.BigEndian.AppendUint16(frame, h.Sequence)
+	frame = binary.BigEndian.AppendUint16(frame, h.Epoch)
 	frame = binary.BigEndian.AppendUint16(frame, h.Objective)
-	return append(frame, h.Deferral, h.Walked, h.Hops, h.Count, byte(h.Kind))
+	kind := byte(h.Kind)
+	if h.IsConfirmed {
+		kind |= confirmedBit
+	}
+	if h.MayBeOpen {
+		kind |= mayBeOpenBit
+	}
+	return append(frame, h.Deferral, h.Walked, h.Hops, h.Count, kind)
 }
 
 // Decode reads the trailer of a frame into h and returns the body before it.
@@ -88,8 +109,11 @@
 	copy(h.Origin[:], fixed[0:4])
 	h.Service = binary.BigEndian.Uint64(fixed[4:12])
 	h.Sequence = binary.BigEndian.Uint16(fixed[12:14])
-	h.Objective = binary.BigEndian.Uint16(fixed[14:16])
-	h.Deferral, h.Walked, h.Hops, h.Count, h.Kind = fixed[16], fixed[17], fixed[18], fixed[19], Kind(fixed[20])
+	h.Epoch, h.Objective = binary.BigEndian.Uint16(fixed[14:16]), binary.BigEndian.Uint16(fixed[16:18])
+	h.Deferral, h.Walked, h.Hops, h.Count = fixed[18], fixed[19], fixed[20], fixed[21]
+	kind := fixed[22]
+	h.Kind = Kind(kind &^ (confirmedBit | mayBeOpenBit))
+	h.IsConfirmed, h.MayBeOpen = kind&confirmedBit != 0, kind&mayBeOpenBit != 0
 	list := int(h.Count) * addressBytes
 	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Pong {
 		return nil, ErrMalformed
--- a/internal/opaque/hop/hop_test.go
+++ b/internal/opaque/hop/hop_test.go
@@ -10,7 +10,7 @@
 
 func header() hop.Header {
 	h := hop.Header{
-		Kind: hop.Forward, Origin: hop.IP{10, 1, 0, 10}, Service: 0x1122334455667788, Sequence: 7, Objective: 250,
+		Kind: hop.Forward, Origin: hop.IP{10, 1, 0, 10}, Service: 0x1122334455667788, Sequence: 7, Epoch: 513, IsConfirmed: true, MayBeOpen: true, Objective: 250,
 		Deferral: 1, Walked: 3, Hops: 1, Count: 2,
 	}
 	h.Candidates[0], h.Candidates[1] = hop.IP{10, 1, 0, 13}, hop.IP{10, 2, 0, 9}
@@ -54,7 +54,7 @@
 	unknown := append([]byte(nil), whole...)
 	unknown[len(unknown)-1] = 99
 	for name, raw := range map[string][]byte{
-		"empty": nil, "short": whole[len(whole)-5:], "without its candidates": whole[len(whole)-21:],
+		"empty": nil, "short": whole[len(whole)-5:], "without its candidates": whole[len(whole)-23:],
 		"too many candidates": tooMany, "unknown kind": unknown,
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/internal/opaque/proof/proof_test.go
@@ -0,0 +1,162 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/resident"
+)
+
+// actions are the events of a history.
+func (w *world) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"a caller opens a flow":  func(*rapid.T) { w.openFlow() },
+		"a caller sends data":    func(*rapid.T) { w.sendData() },
+		"a balancer restarts":    func(*rapid.T) { w.restartBalancer() },
+		"a balancer hears":       func(*rapid.T) { w.sync(w.anyBalancer()) },
+		"an agent restarts":      func(*rapid.T) { w.restartAgent() },
+		"a target restarts":      func(*rapid.T) { w.startTarget(w.anyHost()) },
+		"a target drains":        func(*rapid.T) { w.drain() },
+		"a target leaves":        func(*rapid.T) { w.leave() },
+		"a target is added":      func(*rapid.T) { w.add() },
+		"an address is reused":   func(*rapid.T) { w.reuse() },
+		"time passes":            func(*rapid.T) { w.now = w.now.Add(150 * time.Millisecond) },
+		"an old opening arrives": func(*rapid.T) { w.repeatOpening() },
+	}
+}
+
+func (w *world) openFlow() {
+	w.callers++
+	id := flow.ID{Caller: flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: w.callers}, Address: routeAddress}
+	r := w.deliver(w.anyBalancer(), flow.Packet{Source: id.Caller, Destination: id.Address, Opens: true})
+	if r.at != nil {
+		w.open = append(w.open, id)
+		w.opened[id] = w.now
+		w.send(id)
+	}
+}
+
+// repeatOpening delivers a late copy of the packet that opened a flow.
+func (w *world) repeatOpening() {
+	if len(w.open) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(w.open).Draw(w.t, "flow")
+	if w.now.Sub(w.opened[id]) > 1400*time.Millisecond {
+		return
+	}
+	var lives []*host
+	for _, h := range w.hosts {
+		if h.flows[id] && !h.hasLeft {
+			lives = append(lives, h)
+		}
+	}
+	if len(lives) != 1 {
+		return
+	}
+	r := w.deliver(w.balancers[0], flow.Packet{Source: id.Caller, Destination: id.Address, Opens: true, Copies: 1})
+	if r.isReset && w.balancers[0].directory.View().IsUsable(lives[0].ip) {
+		w.t.Fatalf("a late opening of flow %s was reset, and the flow lives", id)
+	}
+	if r.at != nil && r.at != lives[0] {
+		// A second target has accepted; its flow was never opened by the caller.
+		delete(r.at.flows, id)
+		r.at.halfOpen[id] = true
+	}
+}
+
+func (w *world) sendData() {
+	if len(w.open) > 0 {
+		w.send(rapid.SampledFrom(w.open).Draw(w.t, "flow"))
+	}
+}
+
+// send delivers data and expects it at the target that holds the flow.
+func (w *world) send(id flow.ID) {
+	r := w.deliver(w.anyBalancer(), flow.Packet{Source: id.Caller, Destination: id.Address, Payload: 10})
+	for _, h := range w.hosts {
+		if h.flows[id] && !h.hasLeft && r.at != h {
+			w.t.Fatalf("flow %s lives on %v and its packet did not get there: %+v", id, h.ip, r)
+		}
+	}
+}
+
+func (w *world) restartBalancer() {
+	w.balancers[rapid.IntRange(0, len(w.balancers)-1).Draw(w.t, "balancer")] = w.newBalancer()
+}
+
+// restartAgent restarts an agent; the target goes on and its next heartbeat follows.
+func (w *world) restartAgent() {
+	h := w.anyHost()
+	if h.hasLeft {
+		return
+	}
+	h.agent = resident.New(w.now, desired.KeyOf(h.service))
+	w.beat(h)
+}
+
+func (w *world) drain() {
+	h := w.anyHost()
+	if !h.hasLeft {
+		h.isDraining = true
+		w.beat(h)
+	}
+}
+
+func (w *world) leave() {
+	h := w.anyHost()
+	if h.hasLeft || !h.isDraining {
+		return
+	}
+	h.hasLeft = true
+	h.flows = map[flow.ID]bool{}
+	h.agent.Leave(instanceName(h))
+	w.write(h)
+}
+
+func (w *world) add() {
+	if len(w.hosts) < 12 {
+		w.addHost(byte(len(w.hosts)+1), lines)
+	}
+}
+
+// reuse gives the address of a VM to a target of another service.
+func (w *world) reuse() {
+	h := w.anyHost()
+	if h.service == lines {
+		h.service = archive
+	} else {
+		h.service = lines
+	}
+	w.startHost(h)
+}
+
+func (w *world) check(t *rapid.T) {
+	for _, h := range w.hosts {
+		if h.forbidden > 0 {
+			t.Fatalf("target of %s at %v got %d openings that it must not get", h.service, h.ip, h.forbidden)
+		}
+	}
+}
+
+// TestOpenFlowsReachTheirTargets holds over random histories: a packet of an open flow reaches the target that holds it,
+// whichever balancer it meets; no flow that lives is reset; no target that drains, or that is of another service, gets
+// an opening.
+func TestOpenFlowsReachTheirTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		actions := w.actions()
+		actions[""] = w.check
+		for name, action := range actions {
+			actions[name] = func(step *rapid.T) {
+				w.t = step
+				action(step)
+			}
+		}
+		t.Repeat(actions)
+	})
+}
--- /dev/null
+++ b/internal/opaque/proof/world_test.go
@@ -0,0 +1,245 @@
+// Package proof drives the decisions of balancers and agents together, without a network, through random histories of
+// restarts, crashes, drains, reused addresses and stale views.
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/directory"
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/opaque/resident"
+	"gentianswitch/internal/opaque/steer"
+	"gentianswitch/internal/store"
+)
+
+// Names of the services, and the address of the route to the first.
+const (
+	lines   = "lines"
+	archive = "archive"
+)
+
+var routeAddress = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+
+// host is a VM with an agent and a target.
+type host struct {
+	ip       hop.IP
+	service  string
+	agent    *resident.Resident
+	instance int64
+	sequence int64
+	// flows are those that the target holds.
+	flows map[flow.ID]bool
+	// halfOpen are flows that the target accepted and that their callers opened elsewhere.
+	halfOpen   map[flow.ID]bool
+	isDraining bool
+	hasLeft    bool
+	// forbidden counts openings that the target got while it drained or from another service.
+	forbidden int
+}
+
+// balancer is a balancer with its view.
+type balancer struct {
+	steer     *steer.Steer
+	directory *directory.Directory
+}
+
+// world is a deployment.
+type world struct {
+	t         *rapid.T
+	now       time.Time
+	revision  store.Version
+	entries   map[hop.IP]item
+	hosts     []*host
+	balancers []*balancer
+	callers   uint16
+	open      []flow.ID
+	opened    map[flow.ID]time.Time
+	starts    int64
+}
+
+type item struct {
+	entry    registry.Entry
+	revision store.Version
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: time.Unix(1_700_000_000, 0), entries: make(map[hop.IP]item), opened: make(map[flow.ID]time.Time)}
+	for i := range rapid.IntRange(1, 4).Draw(t, "targets") {
+		w.addHost(byte(i+1), lines)
+	}
+	w.addHost(100, archive)
+	for range 2 {
+		w.balancers = append(w.balancers, w.newBalancer())
+	}
+	return w
+}
+
+func (w *world) addHost(n byte, service string) {
+	h := &host{ip: hop.IP{10, 1, 0, n}, service: service}
+	w.hosts = append(w.hosts, h)
+	w.startHost(h)
+}
+
+// startHost starts the agent and the target of a VM.
+func (w *world) startHost(h *host) {
+	h.agent = resident.New(w.now, desired.KeyOf(h.service))
+	w.startTarget(h)
+}
+
+func (w *world) startTarget(h *host) {
+	w.starts++
+	h.instance, h.sequence = w.starts, 0
+	h.flows, h.halfOpen = make(map[flow.ID]bool), make(map[flow.ID]bool)
+	h.isDraining, h.hasLeft = false, false
+	w.beat(h)
+}
+
+func (w *world) beat(h *host) {
+	h.sequence++
+	outcome := h.agent.Heartbeat(w.now, resident.Heartbeat{
+		Instance: instanceName(h), Started: h.instance, Sequence: h.sequence, Service: h.service,
+		Zone: "quito", Slots: 3, IsDraining: h.isDraining,
+	})
+	for _, e := range outcome.Ended {
+		w.expectDead(e.ID, "an agent reset a flow")
+	}
+	w.write(h)
+}
+
+func instanceName(h *host) string { return fmt.Sprint("i-", h.instance) }
+
+func (w *world) write(h *host) {
+	w.revision++
+	w.entries[h.ip] = item{entry: h.agent.Entry(), revision: w.revision}
+}
+
+func (w *world) newBalancer() *balancer {
+	b := &balancer{steer: steer.New(hop.IP{10, 9, 0, 1}), directory: directory.New("quito")}
+	table := desired.NewTable(1)
+	table.Add(routeAddress, &desired.Route{Name: "r", Shares: []desired.Share{
+		{Service: desired.KeyOf(lines), Name: lines, Weight: 1},
+	}})
+	b.steer.Apply(w.now, table)
+	w.sync(b)
+	return b
+}
+
+// sync brings a balancer's view up to date.
+func (w *world) sync(b *balancer) {
+	for ip, i := range w.entries {
+		b.directory.Put(w.now, ip, i.entry, i.revision)
+	}
+	b.steer.SetView(b.directory.View())
+}
+
+func (w *world) expectDead(id flow.ID, what string) {
+	for _, h := range w.hosts {
+		if h.flows[id] && !h.hasLeft {
+			w.t.Fatalf("%s: flow %s lives on %v", what, id, h.ip)
+		}
+	}
+}
+
+// result is what became of a packet.
+type result struct {
+	isReset bool
+	// at is the host whose target took the packet.
+	at *host
+}
+
+// deliver carries a caller's packet to its end.
+func (w *world) deliver(b *balancer, p flow.Packet) result {
+	d := b.steer.Decide(w.now, &p)
+	for step := 0; ; step++ {
+		if step > 20 {
+			w.t.Fatalf("packet of %s goes round", p.FromCaller())
+		}
+		switch d.Verdict {
+		case steer.Reset:
+			if !p.Opens {
+				w.expectDead(p.FromCaller(), "a balancer reset a flow")
+			}
+			return result{isReset: true}
+		case steer.Confirm:
+			w.sync(b)
+			d = b.steer.Confirmed(w.now, &p, &d.Header)
+			continue
+		case steer.Drop:
+			return result{}
+		}
+		at, back := w.walk(b, p, d.Agent, d.Header)
+		if at != nil {
+			return result{at: at}
+		}
+		d = b.steer.Returned(w.now, &p, &back)
+	}
+}
+
+// walk carries a frame from agent to agent until a target takes the packet or none is left.
+func (w *world) walk(b *balancer, p flow.Packet, agent hop.IP, h hop.Header) (*host, hop.Header) {
+	for {
+		at := w.hostAt(agent)
+		if at == nil {
+			w.t.Fatalf("a packet went to %v, where no agent is", agent)
+		}
+		d := at.agent.FromNode(w.now, &p, &h)
+		if d.TellOrigin {
+			b.steer.Locate(w.now, p.FromCaller(), at.ip, desired.KeyOf(at.service))
+		}
+		if d.Verdict == resident.Deliver {
+			if w.take(at, p) {
+				return at, hop.Header{}
+			}
+			bounced := p
+			bounced.IsBounced, bounced.Mark = true, d.Mark
+			d = at.agent.FromTarget(w.now, &bounced)
+		}
+		switch d.Verdict {
+		case resident.PassOn:
+			agent, h = d.Next, d.Header
+		case resident.GiveBack:
+			return nil, d.Header
+		default:
+			w.t.Fatalf("verdict %s for %s", d.Verdict, p.FromCaller())
+		}
+	}
+}
+
+// take gives a packet to a target and reports whether it keeps it.
+func (w *world) take(h *host, p flow.Packet) bool {
+	id := p.FromCaller()
+	if p.Opens && !h.hasLeft {
+		if h.service != lines || h.isDraining && !h.flows[id] && !h.halfOpen[id] {
+			h.forbidden++
+		}
+		h.flows[id] = true
+		h.agent.FromTarget(w.now, &flow.Packet{Source: id.Address, Destination: id.Caller, Accepts: true})
+		return true
+	}
+	if h.hasLeft || !h.flows[id] {
+		return false
+	}
+	h.agent.FromTarget(w.now, &flow.Packet{Source: id.Address, Destination: id.Caller, Payload: 10})
+	return true
+}
+
+func (w *world) hostAt(ip hop.IP) *host {
+	i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.ip == ip })
+	if i < 0 {
+		return nil
+	}
+	return w.hosts[i]
+}
+
+func (w *world) anyHost() *host { return w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(w.t, "host")] }
+
+func (w *world) anyBalancer() *balancer {
+	return w.balancers[rapid.IntRange(0, len(w.balancers)-1).Draw(w.t, "balancer")]
+}
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -87,6 +87,9 @@
 	// waitLimit is the time after which a flow without packets no longer counts as waiting: its caller has left. Callers
 	// repeat unanswered packets at least every 1.6 s.
 	waitLimit = 2 * time.Second
+	// openingLifetime is the time for which callers repeat an opening (1.4 s), and a margin for its way. An agent that
+	// started later than that ago may have known the flow in its former run.
+	openingLifetime = 2 * time.Second
 	// openLimit is the time in which a caller that is there completes the handshake: far above a round trip to callers,
 	// which is 2 to 6 ms. Later the flow no longer counts as waiting.
 	openLimit = 100 * time.Millisecond
@@ -129,19 +132,20 @@
 
 // Resident is the state of the decisions on one target.
 type Resident struct {
-	service desired.ServiceKey
-	target  target
-	flows   map[flow.ID]*held
-	marks   [markSlots]mark
+	startedAt time.Time
+	service   desired.ServiceKey
+	target    target
+	flows     map[flow.ID]*held
+	marks     [markSlots]mark
 	// sequence numbers the delivered packets, from 1.
 	sequence uint32
 	// waiting is the number of flows whose isWaiting is set.
 	waiting int
 }
 
-// New returns the state beside a target that runs a service.
-func New(service desired.ServiceKey) *Resident {
-	return &Resident{service: service, flows: make(map[flow.ID]*held)}
+// New returns the state beside a target that runs a service, of an agent that starts now.
+func New(now time.Time, service desired.ServiceKey) *Resident {
+	return &Resident{startedAt: now, service: service, flows: make(map[flow.ID]*held)}
 }
 
 // FromNode returns the decision for a caller's packet that a balancer or another agent sent.
@@ -152,6 +156,7 @@
 	id := p.FromCaller()
 	f := r.flows[id]
 	if f == nil && p.Opens {
+		h.MayBeOpen = h.MayBeOpen || p.Copies > 0 && now.Sub(r.startedAt) < openingLifetime
 		if reason := r.target.refusal(now); reason != Accepting {
 			return decline(h, reason)
 		}
--- a/internal/opaque/resident/resident_test.go
+++ b/internal/opaque/resident/resident_test.go
@@ -36,7 +36,7 @@
 
 // beside returns the state beside a target that has announced itself.
 func beside() *resident.Resident {
-	r := resident.New(service)
+	r := resident.New(start, service)
 	r.Heartbeat(start, heartbeat(1))
 	return r
 }
@@ -149,7 +149,7 @@
 
 func TestAnAgentThatHasJustStartedServesBeforeTheFirstHeartbeat(t *testing.T) {
 	g := NewWithT(t)
-	r := resident.New(service)
+	r := resident.New(start, service)
 	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
 	g.Expect(r.FromNode(start, data(2, 1), frame(next)).Verdict).To(Equal(resident.Deliver),
 		"its target may hold flows from before")
@@ -328,3 +328,14 @@
 	elsewhere.IsBounced = true
 	g.Expect(r.FromTarget(start, elsewhere).Reason).To(Equal(resident.Bounced), "its caller chose another target")
 }
+
+func TestAnAgentThatHasJustStartedCannotRuleOutThatARepeatedOpeningIsOpen(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	r.Heartbeat(start, draining(2))
+	repeated := opening(1)
+	repeated.Copies = 1
+	g.Expect(r.FromNode(after(10), repeated, frame(next)).Header.MayBeOpen).To(BeTrue())
+	g.Expect(r.FromNode(after(10), opening(2), frame(next)).Header.MayBeOpen).To(BeFalse(), "the first copy opens nothing twice")
+	g.Expect(r.FromNode(after(2000), repeated, frame(next)).Header.MayBeOpen).To(BeFalse(), "its table would hold the flow")
+}
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -85,7 +85,7 @@
 func New(settings Settings, parts Parts) *Sidecar {
 	return &Sidecar{
 		settings: settings, parts: parts, self: hop.IP(settings.Data.Addr().As4()), counters: newCounters(parts.Scope),
-		changed: make(chan struct{}, 1), resident: resident.New(desired.KeyOf(settings.Service)),
+		changed: make(chan struct{}, 1), resident: resident.New(time.Now(), desired.KeyOf(settings.Service)),
 	}
 }
 
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -50,13 +50,15 @@
 	NoTarget
 	Declined
 	LateReset
+	Churn
+	MayBeOpen
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
 		"candidates", "located", "no_configuration", "no_route", "no_target", "all_declined",
-		"reset_of_unknown_flow",
+		"reset_of_unknown_flow", "view_changes", "may_be_open",
 	}[r]
 }
 
@@ -144,42 +146,59 @@
 	if route == nil {
 		return refusal
 	}
-	d := Decision{Verdict: Forward, Route: route, Header: hop.Header{Kind: hop.Forward, Origin: s.self}}
-	if known, ok := s.located.get(id); ok && s.view.IsUsable(known.agent) {
-		d.Agent, d.Reason, d.Header.Service = known.agent, Remembered, uint64(known.service)
-		return d
+	known, ok := s.located.get(id)
+	if !ok || !s.view.IsUsable(known.agent) {
+		return s.walk(now, p, Decision{Route: route}, 0, false)
 	}
-	if !s.fill(&d, now, id, p.Opens, 0) {
-		return s.exhausted(p, d, false)
+	return Decision{
+		Verdict: Forward, Reason: Remembered, Route: route, Agent: known.agent,
+		Header: hop.Header{Kind: hop.Forward, Origin: s.self, Epoch: s.view.Epoch, Service: uint64(known.service)},
 	}
-	d.Agent, _ = d.Header.Next()
-	d.Header.Hops = 0
-	return d
-}
-
-// Returned returns the decision for a packet that the first walked candidates have declined.
-func (s *Steer) Returned(now time.Time, p *flow.Packet, walked int) Decision {
-	return s.goOn(now, p, walked, false)
-}
-
-// Confirmed returns the decision for a packet that the first walked candidates have declined, after the targets have
-// been read from the store. A flow is placed only on a target that the store knows, so the view holds its target.
-func (s *Steer) Confirmed(now time.Time, p *flow.Packet, walked int) Decision {
-	return s.goOn(now, p, walked, true)
 }
 
-func (s *Steer) goOn(now time.Time, p *flow.Packet, walked int, isConfirmed bool) Decision {
+// Returned returns the decision for a packet that came back with the header h: its candidates have declined it. When the
+// view has changed since the walk began, the order may have as well, and the walk begins anew.
+func (s *Steer) Returned(now time.Time, p *flow.Packet, h *hop.Header) Decision {
 	id := p.FromCaller()
 	s.located.drop(id)
 	route, refusal := s.route(p, id)
+	switch {
+	case route == nil:
+		return refusal
+	case h.Hops > maxHops:
+		return Decision{Verdict: Drop, Reason: Churn, Route: route}
+	}
+	d := Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen, Hops: h.Hops}}
+	if h.Epoch == s.view.Epoch {
+		return s.walk(now, p, d, int(h.Walked), h.IsConfirmed)
+	}
+	return s.walk(now, p, d, 0, false)
+}
+
+// Confirmed returns the decision for a packet whose walk with the header h has ended in vain, after the targets have been
+// read from the store. A flow is placed only on a target that the store knows, so the view holds its target.
+func (s *Steer) Confirmed(now time.Time, p *flow.Packet, h *hop.Header) Decision {
+	route, refusal := s.route(p, p.FromCaller())
 	if route == nil {
 		return refusal
 	}
-	d := Decision{Verdict: Forward, Route: route, Header: hop.Header{Kind: hop.Forward, Origin: s.self}}
-	if !s.fill(&d, now, id, p.Opens, walked) {
+	if h.Epoch == s.view.Epoch {
+		return s.exhausted(p, Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen}}, true)
+	}
+	return s.walk(now, p, Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen}}, 0, true)
+}
+
+// walk offers a packet to the candidates after the first walked ones. The decision holds what is known of the packet.
+func (s *Steer) walk(now time.Time, p *flow.Packet, d Decision, walked int, isConfirmed bool) Decision {
+	d.Verdict = Forward
+	d.Header.Kind, d.Header.Origin = hop.Forward, s.self
+	d.Header.Epoch, d.Header.IsConfirmed = s.view.Epoch, isConfirmed
+	if !s.fill(&d, now, p, walked) {
 		return s.exhausted(p, d, isConfirmed)
 	}
+	hops := d.Header.Hops
 	d.Agent, _ = d.Header.Next()
+	d.Header.Hops = hops
 	return d
 }
 
@@ -196,8 +215,9 @@
 	return nil, Decision{Verdict: Reset, Reason: NoRoute}
 }
 
-// exhausted decides on a packet for which no candidate is left. A packet that opens a flow has been accepted nowhere, so
-// its caller is told at once. An open flow is reset only when it is confirmed that no target can hold it.
+// exhausted decides on a packet for which no candidate is left. A first opening has been accepted nowhere, so its caller
+// is told at once. A flow that may be open, also that of a repeated opening, is reset only when it is confirmed that no
+// target can hold it.
 func (s *Steer) exhausted(p *flow.Packet, d Decision, isConfirmed bool) Decision {
 	d.Verdict, d.Reason = Reset, Declined
 	if s.view.Len() == 0 {
@@ -206,7 +226,9 @@
 	switch {
 	case p.Resets:
 		d.Verdict, d.Reason = Drop, LateReset
-	case !p.Opens && !isConfirmed:
+	case p.Opens && d.Header.MayBeOpen:
+		d.Verdict, d.Reason = Drop, MayBeOpen
+	case !isConfirmed && (!p.Opens || p.Copies > 0):
 		d.Verdict = Confirm
 	}
 	return d
@@ -214,16 +236,17 @@
 
 // fill puts the candidates after the first walked ones into the header. They are of one service, which the agents
 // compare with their own. It reports false when none is left.
-func (s *Steer) fill(d *Decision, now time.Time, id flow.ID, opens bool, walked int) bool {
+func (s *Steer) fill(d *Decision, now time.Time, p *flow.Packet, walked int) bool {
+	id := p.FromCaller()
 	hash := id.Hash()
-	if opens {
+	if p.Opens {
 		d.Header.Deferral = s.table.Deferral(d.Route)
 		d.Header.Objective = uint16(min(d.Route.Objective.Milliseconds(), math.MaxUint16))
 	}
 	var buffer [maxGroups]desired.ServiceKey
 	skipped := 0
-	for _, service := range s.groups(buffer[:0], now, d.Route, id, hash, opens) {
-		candidates, total := s.view.Order(service, hash, opens, walked-skipped, make([]hop.IP, 0, hop.MaxCandidates))
+	for _, service := range s.groups(buffer[:0], now, d.Route, id, hash, p.Opens) {
+		candidates, total := s.view.Order(service, hash, audience(p), walked-skipped, make([]hop.IP, 0, hop.MaxCandidates))
 		if len(candidates) == 0 {
 			skipped += total
 			continue
@@ -236,7 +259,20 @@
 	return false
 }
 
+func audience(p *flow.Packet) directory.Audience {
+	switch {
+	case !p.Opens:
+		return directory.OpenFlow
+	case p.Copies == 0:
+		return directory.NewFlow
+	default:
+		return directory.RepeatedOpening
+	}
+}
+
 const (
+	// maxHops bounds the agents that a packet visits while the view changes again and again.
+	maxHops = 200
 	// maxGroups is the number of services of a flow up to which the decision needs no allocation.
 	maxGroups = 8
 	// maxWalked is the largest number of candidates that a frame can count.
--- a/internal/opaque/steer/steer_test.go
+++ b/internal/opaque/steer/steer_test.go
@@ -64,6 +64,25 @@
 	return p
 }
 
+// ended is the header of a walk through the first candidates in the present view.
+func ended(s *steer.Steer, walked uint8) *hop.Header {
+	h := s.Decide(start, data()).Header
+	h.Walked, h.Count = walked, 0
+	return &h
+}
+
+func TestAWalkBeginsAnewWhenTheViewHasChanged(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2, 3)
+	vain := ended(s, 3)
+	add(s, d, "pedidos", 4, 5, 6, 7, 8)
+	again := s.Returned(start, data(), vain)
+	g.Expect(again.Verdict).To(Equal(steer.Forward))
+	g.Expect(again.Header.Walked).To(BeEquivalentTo(8), "a new target may stand before those that were asked")
+	vain.Hops = 201
+	g.Expect(s.Returned(start, data(), vain).Reason).To(Equal(steer.Churn))
+}
+
 func TestOpeningAndOpenPacketsMeetTheSameFirstCandidate(t *testing.T) {
 	g := NewWithT(t)
 	s, _ := serving(1, 2, 3)
@@ -120,20 +139,37 @@
 func TestAnOpeningThatAllDeclineIsResetAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	s, _ := serving(1, 2, 3)
-	d := s.Returned(start, opening(), 3)
+	d := s.Returned(start, opening(), ended(s, 3))
 	g.Expect(d.Verdict).To(Equal(steer.Reset))
 	g.Expect(d.Reason).To(Equal(steer.Declined))
 }
 
+func TestARepeatedOpeningIsNotResetWhileItsFlowMayBeOpen(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2)
+	d.Put(start, agent(2), registry.Entry{Service: "pedidos", Zone: "quito", Slots: 5, IsDraining: true}, 100)
+	s.SetView(d.View())
+	repeated := opening()
+	repeated.Copies = 1
+	g.Expect(s.Decide(start, repeated).Header.Count).To(BeEquivalentTo(1), "the draining target is asked last")
+	vain := ended(s, 2)
+	g.Expect(s.Returned(start, repeated, vain).Verdict).To(Equal(steer.Confirm), "another balancer may have placed it")
+	g.Expect(s.Confirmed(start, repeated, vain).Verdict).To(Equal(steer.Reset))
+	vain.MayBeOpen = true
+	g.Expect(s.Returned(start, repeated, vain).Reason).To(Equal(steer.MayBeOpen))
+}
+
 func TestAnOpenFlowIsResetOnlyAfterConfirmation(t *testing.T) {
 	g := NewWithT(t)
 	s, d := serving(1, 2, 3)
-	g.Expect(s.Returned(start, data(), 3).Verdict).To(Equal(steer.Confirm))
-	g.Expect(s.Confirmed(start, data(), 3).Verdict).To(Equal(steer.Reset))
+	g.Expect(s.Returned(start, data(), ended(s, 3)).Verdict).To(Equal(steer.Confirm))
+	vain := ended(s, 3)
+	g.Expect(s.Confirmed(start, data(), vain).Verdict).To(Equal(steer.Reset))
 	add(s, d, "pedidos", 4)
-	found := s.Confirmed(start, data(), 3)
-	g.Expect(found.Verdict).To(Equal(steer.Forward), "the confirmation has found a target that was not asked")
-	g.Expect(found.Header.Walked).To(BeEquivalentTo(4))
+	again := s.Confirmed(start, data(), vain)
+	g.Expect(again.Verdict).To(Equal(steer.Forward), "the confirmation has found a target, at any place of the order")
+	g.Expect(again.Header.Walked).To(BeEquivalentTo(4))
+	g.Expect(s.Returned(start, data(), &again.Header).Verdict).To(Equal(steer.Reset), "all targets of that view were asked")
 }
 
 func TestAResetOfACallerIsNeverAnswered(t *testing.T) {
@@ -141,8 +177,8 @@
 	s, _ := serving(1)
 	p := data()
 	p.Resets = true
-	g.Expect(s.Returned(start, p, 1).Verdict).To(Equal(steer.Drop))
-	g.Expect(s.Confirmed(start, p, 1).Verdict).To(Equal(steer.Drop))
+	g.Expect(s.Returned(start, p, ended(s, 1)).Verdict).To(Equal(steer.Drop))
+	g.Expect(s.Confirmed(start, p, ended(s, 1)).Verdict).To(Equal(steer.Drop))
 }
 
 func TestAFrameGoesOnWhereTheFormerEnded(t *testing.T) {
@@ -160,7 +196,7 @@
 		for i := range d.Header.Count {
 			seen[d.Header.Candidates[i]] = true
 		}
-		d = s.Returned(start, data(), int(d.Header.Walked))
+		d = s.Returned(start, data(), &d.Header)
 	}
 	g.Expect(seen).To(HaveLen(20))
 	g.Expect(d.Verdict).To(Equal(steer.Confirm))
@@ -182,7 +218,7 @@
 	first := s.Decide(start, data())
 	s.Locate(start, data().FromCaller(), first.Header.Candidates[1], desired.KeyOf("pedidos"))
 	wrong := s.Decide(start, data())
-	walk := s.Returned(start, data(), int(wrong.Header.Walked))
+	walk := s.Returned(start, data(), &wrong.Header)
 	g.Expect(walk.Verdict).To(Equal(steer.Forward))
 	g.Expect(walk.Agent).To(Equal(first.Agent))
 	g.Expect(s.Decide(start, data()).Reason).To(Equal(steer.Placed), "the memory is gone")
@@ -204,11 +240,11 @@
 	s.Apply(start, table(2, map[flow.Endpoint]*desired.Route{address: route(1, "mensajes-voz")}))
 	opens := s.Decide(start, opening())
 	g.Expect(opens.Header.Service).To(BeEquivalentTo(desired.KeyOf("mensajes-voz")))
-	g.Expect(s.Returned(start, opening(), 2).Verdict).To(Equal(steer.Reset), "a new flow does not go to the old service")
-	old := s.Returned(start, data(), 2)
+	g.Expect(s.Returned(start, opening(), ended(s, 2)).Verdict).To(Equal(steer.Reset), "a new flow does not go to the old service")
+	old := s.Returned(start, data(), ended(s, 2))
 	g.Expect(old.Verdict).To(Equal(steer.Forward))
 	g.Expect(old.Header.Service).To(BeEquivalentTo(desired.KeyOf("pedidos")))
-	g.Expect(s.Returned(start.Add(61*time.Second), data(), 2).Verdict).To(Equal(steer.Confirm), "flows end within a minute")
+	g.Expect(s.Returned(start.Add(61*time.Second), data(), ended(s, 2)).Verdict).To(Equal(steer.Confirm), "flows end within a minute")
 }
 
 func TestNewFlowsFollowTheWeightsOfARoute(t *testing.T) {
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -106,7 +106,11 @@
 	ended, end := context.WithCancel(force)
 	defer end()
 	OnHangup(ended, func() { s.reload(parts, process) })
-	go func() { _ = stats.Serve(ended, parts.Common.Metrics) }()
+	go func() {
+		if err := stats.Serve(ended, parts.Common.Metrics); err != nil {
+			parts.Log.Emit(events.MetricsFailed, events.Err(err))
+		}
+	}()
 	parts.Log.Emit(events.ProcessStarted, events.F("program", s.Name), events.F("version", Version),
 		events.F("zone", parts.Common.Zone))
 	go parts.reportDropped(ended)
