Rank only the candidates that a frame holds

Cause: a decision sorted every target of the service: 14.6 µs at 49 targets and 269 µs at 500, for each packet.

--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -1,8 +1,6 @@
 package directory
 
 import (
-	"slices"
-
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/rendezvous"
@@ -77,7 +75,8 @@
 func (v *View) Order(service desired.ServiceKey, flow uint64, to Audience, skip int, out []hop.IP) ([]hop.IP, int) {
 	pool := v.pools[service]
 	var buffer [orderBuffer]scored
-	order := buffer[:0]
+	order, wanted := buffer[:0], skip+cap(out)-len(out)
+	total := 0
 	for i := range pool {
 		c := &pool[i]
 		if c.State == Dead || to == NewFlow && c.IsDraining {
@@ -87,16 +86,34 @@
 		if to == RepeatedOpening && c.IsDraining {
 			tier = uint8(Dead)
 		}
-		order = append(order, scored{agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: tier})
+		total++
+		ranked := scored{agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: tier}
+		order = insert(order, wanted, ranked)
 	}
-	slices.SortFunc(order, compareScored)
-	for i := skip; i < len(order) && len(out) < cap(out); i++ {
+	for i := skip; i < len(order); i++ {
 		out = append(out, order[i].agent)
 	}
-	return out, len(order)
+	return out, total
+}
+
+// insert puts a candidate in its place in the order, unless it is behind all that are wanted.
+func insert(order []scored, wanted int, c scored) []scored {
+	if len(order) == wanted {
+		if compareScored(order[wanted-1], c) <= 0 {
+			return order
+		}
+		order = order[:wanted-1]
+	}
+	at := len(order)
+	order = append(order, c)
+	for ; at > 0 && compareScored(c, order[at-1]) < 0; at-- {
+		order[at] = order[at-1]
+	}
+	order[at] = c
+	return order
 }
 
-// orderBuffer is the number of targets of a service up to which an order needs no allocation.
+// orderBuffer is the number of ranked candidates up to which an order needs no allocation: eight frames.
 const orderBuffer = 64
 
 func compareScored(a, b scored) int {
