--- a/internal/opaque/forwarder/confirm.go
+++ b/internal/opaque/forwarder/confirm.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/registry"
@@ -13,9 +15,13 @@
 	// maxHeld bounds the packets that wait for a confirmation: the flows of a few hundred callers, whose ends repeat
 	// what is lost, at 1.5 KB each.
 	maxHeld = 512
-	// confirmInterval is the least time between two reads, so that a burst of ended flows costs few calls. It is well
-	// below the 200 ms after which callers repeat packets.
-	confirmInterval = 50 * time.Millisecond
+	// The least time between two reads grows while flows go on ending, so that a fleet that comes back from a loss of power
+	// stays below the rates of the store: seven reads of a balancer in the first two seconds. The first wait is well below
+	// the 200 ms after which callers repeat packets.
+	firstConfirmWait = 50 * time.Millisecond
+	lastConfirmWait  = 400 * time.Millisecond
+	// confirmRest is the time without ended flows after which the waits are short again.
+	confirmRest = 2 * time.Second
 )
 
 // heldPacket is a packet whose walk has ended in vain.
@@ -33,17 +39,23 @@
 
 // confirmAll reads the targets when packets are held and decides on these packets, until ctx ends.
 func (f *Forwarder) confirmAll(ctx context.Context) error {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval, waits.MaxInterval, waits.Multiplier = firstConfirmWait, lastConfirmWait, 2
 	for {
+		idleSince := time.Now()
 		first, ok := f.held.Get(ctx)
 		if !ok {
 			return nil
 		}
+		if time.Since(idleSince) > confirmRest {
+			waits.Reset()
+		}
 		waiting := []heldPacket{first}
 		for next, ok := f.held.TryGet(); ok; next, ok = f.held.TryGet() {
 			waiting = append(waiting, next)
 		}
 		f.confirm(ctx, waiting)
-		sleep(ctx, confirmInterval)
+		sleep(ctx, waits.NextBackOff())
 	}
 }
 
