Believe no agent dead after a freeze; begin a walk anew when routes change

Cause, found by reading: a balancer that stood still for two seconds found one ping of every agent unanswered for that long, called all of them dead and would have reset the flows that it then met. And a walk went on behind the wrong candidate when a new configuration had changed the order of the services. Change: an agent is dead after six unanswered pings in a row and two seconds; when no agent answers, none counts as dead; the epoch follows the routes too.

--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -26,6 +26,9 @@
 	// deadAfter is the time without an answer after which an agent's flows count as lost. It is above the longest
 	// pauses of a process under load, and below the deadlines of callers.
 	deadAfter = 2 * time.Second
+	// deadMisses is the number of unanswered pings in a row that an agent needs besides to be dead: a balancer that has
+	// been frozen finds one ping of each agent unanswered for as long as it stood still.
+	deadMisses = 6
 )
 
 // Reachability is what a balancer believes of an agent.
@@ -191,7 +194,7 @@
 	t.missed++
 	state := t.State
 	switch {
-	case now.Sub(t.firstMiss) >= deadAfter:
+	case now.Sub(t.firstMiss) >= deadAfter && t.missed >= deadMisses:
 		state = Dead
 		t.nextPing = now.Add(pingInterval)
 	case t.missed >= suspectAfter:
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -38,15 +38,30 @@
 
 func (d *Directory) compile() {
 	pools := make(map[desired.ServiceKey][]Candidate)
+	isIsolated := d.isIsolated()
 	agents := make(map[hop.IP]Reachability, len(d.targets))
 	for _, t := range d.targets {
-		agents[t.Agent] = t.State
+		state := t.State
+		if state == Dead && isIsolated {
+			state = Suspect
+		}
+		agents[t.Agent] = state
 		pools[t.service] = append(pools[t.service], Candidate{
 			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Weight: float64(max(t.Entry.Slots, 1)) * d.preference(t.Entry.Zone),
-			IsDraining: t.Entry.IsDraining, State: t.State,
+			IsDraining: t.Entry.IsDraining, State: state,
 		})
 	}
-	d.view = &View{Epoch: d.view.Epoch + 1, pools: pools, agents: agents}
+	d.view = &View{pools: pools, agents: agents}
+}
+
+// isIsolated reports whether no agent answers. Then this balancer is rather cut off itself, and no flow counts as lost.
+func (d *Directory) isIsolated() bool {
+	for _, t := range d.targets {
+		if t.State == Reachable {
+			return false
+		}
+	}
+	return true
 }
 
 // scored is a candidate and its place in the order for one flow.
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -50,7 +50,7 @@
 	Service uint64
 	// Sequence pairs a Pong with its Ping.
 	Sequence uint16
-	// Epoch is that of the balancer's view when the walk began.
+	// Epoch is that of the balancer's view and routes when the walk began.
 	Epoch uint16
 	// IsConfirmed is set when that view was read from the store after an earlier walk had ended in vain.
 	IsConfirmed bool
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -81,9 +81,11 @@
 
 // Steer is the state of the decisions.
 type Steer struct {
-	self    hop.IP
-	table   *desired.Table
-	view    *directory.View
+	self  hop.IP
+	table *desired.Table
+	view  *directory.View
+	// epoch changes with the table and the view, and so with the order of candidates.
+	epoch   uint16
 	formers map[flow.Endpoint][]former
 	located located
 	rotated time.Time
@@ -100,7 +102,12 @@
 func (s *Steer) Table() *desired.Table { return s.table }
 
 // SetView replaces the view of the targets.
-func (s *Steer) SetView(view *directory.View) { s.view = view }
+func (s *Steer) SetView(view *directory.View) {
+	if view != s.view {
+		s.view = view
+		s.epoch++
+	}
+}
 
 // Apply puts a configuration in force unless its version is not above the one in force.
 func (s *Steer) Apply(now time.Time, table *desired.Table) bool {
@@ -111,6 +118,7 @@
 		s.keepFormers(now, table)
 	}
 	s.table = table
+	s.epoch++
 	return true
 }
 
@@ -152,12 +160,12 @@
 	}
 	return Decision{
 		Verdict: Forward, Reason: Remembered, Route: route, Agent: known.agent,
-		Header: hop.Header{Kind: hop.Forward, Origin: s.self, Epoch: s.view.Epoch, Service: uint64(known.service)},
+		Header: hop.Header{Kind: hop.Forward, Origin: s.self, Epoch: s.epoch, Service: uint64(known.service)},
 	}
 }
 
 // Returned returns the decision for a packet that came back with the header h: its candidates have declined it. When the
-// view has changed since the walk began, the order may have as well, and the walk begins anew.
+// view or the routes have changed since the walk began, so may the order, and the walk begins anew.
 func (s *Steer) Returned(now time.Time, p *flow.Packet, h *hop.Header) Decision {
 	id := p.FromCaller()
 	s.located.drop(id)
@@ -169,7 +177,7 @@
 		return Decision{Verdict: Drop, Reason: Churn, Route: route}
 	}
 	d := Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen, Hops: h.Hops}}
-	if h.Epoch == s.view.Epoch {
+	if h.Epoch == s.epoch {
 		return s.walk(now, p, d, int(h.Walked), h.IsConfirmed)
 	}
 	return s.walk(now, p, d, 0, false)
@@ -182,7 +190,7 @@
 	if route == nil {
 		return refusal
 	}
-	if h.Epoch == s.view.Epoch {
+	if h.Epoch == s.epoch {
 		return s.exhausted(p, Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen}}, true)
 	}
 	return s.walk(now, p, Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen}}, 0, true)
@@ -192,7 +200,7 @@
 func (s *Steer) walk(now time.Time, p *flow.Packet, d Decision, walked int, isConfirmed bool) Decision {
 	d.Verdict = Forward
 	d.Header.Kind, d.Header.Origin = hop.Forward, s.self
-	d.Header.Epoch, d.Header.IsConfirmed = s.view.Epoch, isConfirmed
+	d.Header.Epoch, d.Header.IsConfirmed = s.epoch, isConfirmed
 	if !s.fill(&d, now, p, walked) {
 		return s.exhausted(p, d, isConfirmed)
 	}
--- a/internal/opaque/steer/steer_test.go
+++ b/internal/opaque/steer/steer_test.go
@@ -83,6 +83,17 @@
 	g.Expect(s.Returned(start, data(), vain).Reason).To(Equal(steer.Churn))
 }
 
+func TestAWalkBeginsAnewWhenTheRoutesHaveChanged(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2)
+	add(s, d, "mensajes-voz", 8)
+	vain := ended(s, 2)
+	s.Apply(start, table(2, map[flow.Endpoint]*desired.Route{address: route(1, "mensajes-voz", "pedidos")}))
+	again := s.Returned(start, data(), vain)
+	g.Expect(again.Verdict).To(Equal(steer.Forward))
+	g.Expect(s.Confirmed(start, data(), vain).Verdict).To(Equal(steer.Forward), "the order of the services has changed")
+}
+
 func TestOpeningAndOpenPacketsMeetTheSameFirstCandidate(t *testing.T) {
 	g := NewWithT(t)
 	s, _ := serving(1, 2, 3)
