Flush the entry of a target that left; keep forwarding when a handover cannot be accepted

Cause, found by reading: an agent that was stopped while the store was slow left its target's last entry unwritten; a failed accept ended the balancer; a store that answers an agent again had no line. Change: an agent takes up to 400 ms at its end for the entry; accepts are tried again; a line for the regained store.

--- a/integration/opaque_test.go
+++ b/integration/opaque_test.go
@@ -171,6 +171,25 @@
 		Eventually(d.balancers[0].ended).WithTimeout(patience).Should(BeClosed())
 	})
 
+	It("are not sent to a target that left while the store was slow to hear of it", func() {
+		d := newOpaqueDeployment(1, 2)
+		key := "gentian/targets/" + d.agents[0].ip.String()
+		before := d.store.Value(key)
+		d.store.Disturb("", standin.Reset)
+		Expect(d.targets[0].Drain()).To(Succeed())
+		Expect(d.targets[0].Leave()).To(Succeed())
+		d.store.Disturb("", standin.None)
+		d.agents[0].signal(syscall.SIGTERM)
+		Eventually(d.agents[0].ended).WithTimeout(patience).Should(BeClosed())
+		Expect(d.store.Value(key)).NotTo(Equal(before))
+		for i := range 10 {
+			c := d.newCaller(through(d.balancers[0]))
+			open(c)
+			Expect(ask(c, fmt.Sprint("request ", i))).To(Equal(d.targets[1].Name))
+			c.Close()
+		}
+	})
+
 	It("are reset when no target is left to take them", func() {
 		d := newOpaqueDeployment(1, 1)
 		Expect(d.targets[0].Drain()).To(Succeed())
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -118,7 +118,7 @@
 	group.Go("report", f.reportAll)
 	group.Go("seeds", f.askSeeds)
 	group.Go("catch up", f.catchUp)
-	group.Go("handover", func(ctx context.Context) error { return handover.Serve(ctx, f.settings.Peer, f.state) })
+	group.Go("handover", f.serveHandover)
 	group.Go("stop", func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -170,3 +170,10 @@
 	}
 	return eris.Wrapf(err, "serve readiness on %s", f.settings.Ready)
 }
+
+// serveHandover answers balancers that cannot read the store until ctx ends.
+func (f *Forwarder) serveHandover(ctx context.Context) error {
+	return handover.Serve(ctx, f.settings.Peer, f.state, func(err error) {
+		f.parts.Log.Emit(events.HandoverFailed, events.F("peer", f.settings.Peer.String()), events.Err(err))
+	})
+}
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -20,6 +20,8 @@
 	// maxExchanges bounds the exchanges that are served at once, so that a fleet that starts in an outage cannot exhaust
 	// the descriptors of those that know.
 	maxExchanges = 32
+	// acceptPause keeps a failing accept from spinning.
+	acceptPause = 50 * time.Millisecond
 )
 
 // State is what a balancer knows from the store.
@@ -58,8 +60,9 @@
 	return state, eris.Wrapf(err, "read the state of balancer %s", address)
 }
 
-// Serve answers each connection to address with the state that current returns, until ctx ends.
-func Serve(ctx context.Context, address netip.AddrPort, current func() State) error {
+// Serve answers each connection to address with the state that current returns, until ctx ends. It calls refused for a
+// connection that cannot be accepted.
+func Serve(ctx context.Context, address netip.AddrPort, current func() State, refused func(error)) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp4", address.String())
 	if err != nil {
@@ -74,7 +77,10 @@
 			return nil
 		}
 		if err != nil {
-			return eris.Wrapf(err, "accept balancers on %s", address)
+			// Out of descriptors for a moment: those that ask try again, and forwarding must not end for it.
+			refused(eris.Wrapf(err, "accept balancers on %s", address))
+			time.Sleep(acceptPause)
+			continue
 		}
 		select {
 		case places <- struct{}{}:
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -95,25 +95,48 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(id.Caller.IP), port)
 }
 
+// flushLimit is the time that an agent that stops takes to tell the store of its target's end: a call to a slow store.
+const flushLimit = 400 * time.Millisecond
+
 // keepEntry brings the target's entry into the store until ctx ends.
 func (s *Sidecar) keepEntry(ctx context.Context) error {
 	for ctx.Err() == nil {
-		s.mu.Lock()
-		step, wait := s.writer.Next(time.Now())
-		value, revision := s.writer.Value()
-		s.mu.Unlock()
-		switch step {
-		case registry.Read:
-			s.readEntry(ctx)
-		case registry.Write:
-			s.writeEntry(ctx, value, revision)
-		case registry.Rest:
-			s.rest(ctx, wait)
-		}
+		s.stepEntry(ctx)
 	}
 	return nil
 }
 
+// flushEntry brings the last change of the entry into the store, if that is possible in a short time.
+func (s *Sidecar) flushEntry() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushLimit)
+	defer cancel()
+	for ctx.Err() == nil && !s.isEntrySettled() {
+		s.stepEntry(ctx)
+	}
+}
+
+func (s *Sidecar) isEntrySettled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writer.IsSettled()
+}
+
+// stepEntry makes the next call for the entry, or waits for one to be due.
+func (s *Sidecar) stepEntry(ctx context.Context) {
+	s.mu.Lock()
+	step, wait := s.writer.Next(time.Now())
+	value, revision := s.writer.Value()
+	s.mu.Unlock()
+	switch step {
+	case registry.Read:
+		s.readEntry(ctx)
+	case registry.Write:
+		s.writeEntry(ctx, value, revision)
+	case registry.Rest:
+		s.rest(ctx, wait)
+	}
+}
+
 // rest waits for a change of the entry, or for at most wait when it is not zero.
 func (s *Sidecar) rest(ctx context.Context, wait time.Duration) {
 	var due <-chan time.Time
@@ -135,8 +158,10 @@
 	defer s.mu.Unlock()
 	switch {
 	case err == nil:
+		s.heardOfStore()
 		s.writer.Found(item.Value, item.Version)
 	case eris.Is(err, store.ErrNotFound):
+		s.heardOfStore()
 		s.writer.Found(nil, 0)
 	default:
 		s.failed(err, "read entry")
@@ -149,6 +174,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case err == nil:
+		s.heardOfStore()
 		s.writer.Written(item.Value, item.Version)
 		entry := s.resident.Entry()
 		s.parts.Log.Emit(events.EntryWritten, events.F("revision", item.Version),
@@ -163,5 +189,14 @@
 // failed takes a call whose outcome is not known. The caller holds mu.
 func (s *Sidecar) failed(err error, step string) {
 	s.writer.Failed(time.Now())
+	s.isStoreLost = true
 	s.parts.Log.Emit(events.StoreUnavailable, events.F("step", step), events.F("peer", "store"), events.Err(err))
 }
+
+// heardOfStore tells that the store answers again. The caller holds mu.
+func (s *Sidecar) heardOfStore() {
+	if s.isStoreLost {
+		s.isStoreLost = false
+		s.parts.Log.Emit(events.StoreAvailable, events.F("peer", "store"))
+	}
+}
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -79,6 +79,8 @@
 	resident *resident.Resident
 	openings admission.Queue[opening]
 	writer   registry.Writer
+	// isStoreLost is set from a failed call to the store until one succeeds.
+	isStoreLost bool
 }
 
 // New returns a sidecar that does not run yet.
@@ -89,7 +91,7 @@
 	}
 }
 
-// Run serves until stopping ends. It does not wait then: its target may go on, and the next process takes over.
+// Run serves until stopping ends. It does not wait for flows then: its target may go on, and the next process takes over.
 func (s *Sidecar) Run(stopping context.Context) error {
 	if err := s.open(); err != nil {
 		return err
@@ -107,7 +109,9 @@
 		_ = s.outbound.Close()
 		return nil
 	})
-	return group.Wait()
+	err := group.Wait()
+	s.flushEntry()
+	return err
 }
 
 func (s *Sidecar) open() error {
