--- a/cmd/gentian-standin/main.go
+++ b/cmd/gentian-standin/main.go
@@ -33,14 +33,23 @@
 }
 
 func run(args []string) int {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	isVersion := flags.Bool("version", false, "print the version and exit")
 	root := &ffcli.Command{
 		Name:       name,
+		FlagSet:    flags,
 		ShortUsage: name + " <store|target|fabric|callers|certificates> [flags]",
 		ShortHelp:  "stand-ins for tests and the demo",
 		Subcommands: []*ffcli.Command{
 			storeCommand(), targetCommand(), fabricCommand(), callersCommand(), certificatesCommand(),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: func(context.Context, []string) error {
+			if !*isVersion {
+				return flag.ErrHelp
+			}
+			fmt.Println(name, program.Version)
+			return nil
+		},
 	}
 	if err := root.Parse(args); err != nil {
 		return program.ReportUsage(name, err)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/rotisserie/eris"
@@ -64,3 +65,17 @@
 	}
 	return cause
 }
+
+// Every calls step each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			step(now)
+		}
+	}
+}
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -63,3 +63,16 @@
 		t.Errorf("got %v, expected the panic of duty receive", err)
 	}
 }
+
+func TestEveryEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	steps := 0
+	duty.Every(ctx, time.Millisecond, func(time.Time) {
+		if steps++; steps == 3 {
+			cancel()
+		}
+	})
+	if steps < 3 {
+		t.Errorf("%d steps, expected 3", steps)
+	}
+}
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/handover"
 	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/socket"
 	"gentianswitch/internal/opaque/steer"
 	"gentianswitch/internal/ring"
 	"gentianswitch/internal/store"
@@ -161,14 +162,7 @@
 // serveReadiness answers the routers until ctx ends.
 func (f *Forwarder) serveReadiness(ctx context.Context) error {
 	handler := f.parts.ReadyHandler(func() bool { return f.isReady.Load() && !f.isStopping.Load() })
-	server := &http.Server{Addr: f.settings.Ready.String(), Handler: handler, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.ListenAndServe()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return eris.Wrapf(err, "serve readiness on %s", f.settings.Ready)
+	return socket.ServeHTTP(ctx, f.settings.Ready, handler)
 }
 
 // serveHandover answers balancers that cannot read the store until ctx ends.
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
@@ -154,16 +155,8 @@
 
 // checkAll pings agents until ctx ends.
 func (f *Forwarder) checkAll(ctx context.Context) error {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			f.check(now)
-		}
-	}
+	duty.Every(ctx, checkInterval, f.check)
+	return nil
 }
 
 // checkInterval is half of the shortest time that the reachability check has to keep.
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/directory"
 	"gentianswitch/internal/opaque/flow"
@@ -51,16 +52,8 @@
 
 // reportAll updates the gauges until ctx ends.
 func (f *Forwarder) reportAll(ctx context.Context) error {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			f.report(now)
-		}
-	}
+	duty.Every(ctx, reportInterval, f.report)
+	return nil
 }
 
 func (f *Forwarder) report(now time.Time) {
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"gentianswitch/internal/duty"
 	"gentianswitch/internal/opaque/admission"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
@@ -59,17 +60,11 @@
 
 // endOverdue gives flows up whose callers are about to, until ctx ends.
 func (s *Sidecar) endOverdue(ctx context.Context) error {
-	ticker := time.NewTicker(overdueInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			s.takeOverdue(now)
-			s.offerNext(now)
-		}
-	}
+	duty.Every(ctx, overdueInterval, func(now time.Time) {
+		s.takeOverdue(now)
+		s.offerNext(now)
+	})
+	return nil
 }
 
 func (s *Sidecar) takeOverdue(now time.Time) {
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/internal/opaque/resident"
+	"gentianswitch/internal/opaque/socket"
 	"gentianswitch/internal/store"
 )
 
@@ -126,35 +127,20 @@
 }
 
 func (s *Sidecar) serveAnnouncements(ctx context.Context) error {
-	server := &http.Server{
-		Addr: s.settings.Announce.String(), Handler: s.parts.AnnounceHandler(s), ReadHeaderTimeout: time.Second,
-	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.ListenAndServe()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return eris.Wrapf(err, "serve heartbeats on %s", s.settings.Announce)
+	return socket.ServeHTTP(ctx, s.settings.Announce, s.parts.AnnounceHandler(s))
 }
 
 // sweepInterval is the time between two looks for flows that have ended, a fraction of the times that they are kept.
 const sweepInterval = time.Second
 
 func (s *Sidecar) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			s.mu.Lock()
-			s.resident.Sweep(now)
-			flows, waiting := s.resident.Flows(), s.openings.Len()
-			s.mu.Unlock()
-			s.counters.flows.Update(float64(flows))
-			s.counters.waiting.Update(float64(waiting))
-		}
-	}
+	duty.Every(ctx, sweepInterval, func(now time.Time) {
+		s.mu.Lock()
+		s.resident.Sweep(now)
+		flows, waiting := s.resident.Flows(), s.openings.Len()
+		s.mu.Unlock()
+		s.counters.flows.Update(float64(flows))
+		s.counters.waiting.Update(float64(waiting))
+	})
+	return nil
 }
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"gentianswitch/internal/control"
+	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/keys"
 	"gentianswitch/internal/metrics"
@@ -128,20 +129,13 @@
 
 // reportDropped tells of log lines that were left out, until ctx ends.
 func (p Parts) reportDropped(ctx context.Context) {
-	ticker := time.NewTicker(droppedInterval)
-	defer ticker.Stop()
 	counter := p.Scope.Counter("log_lines_dropped")
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if dropped := p.lines.TakeDropped(); dropped > 0 {
-				counter.Inc(int64(dropped))
-				p.Log.Emit(events.LogLinesDropped, events.F("lines", dropped))
-			}
+	duty.Every(ctx, droppedInterval, func(time.Time) {
+		if dropped := p.lines.TakeDropped(); dropped > 0 {
+			counter.Inc(int64(dropped))
+			p.Log.Emit(events.LogLinesDropped, events.F("lines", dropped))
 		}
-	}
+	})
 }
 
 // reload takes a SIGHUP. A process without keys has nothing to read again: its settings name its place on the VM.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,7 +117,17 @@
 
 func usage(fs *flag.FlagSet, example string) {
 	_, _ = fmt.Fprintf(fs.Output(), "Usage: %s [flags]\n\nExample:\n  %s\n\nFlags:\n", fs.Name(), example)
-	fs.PrintDefaults()
+	fs.VisitAll(func(f *flag.Flag) { printFlag(fs.Output(), f) })
+}
+
+// printFlag writes the help of a flag, with two dashes as the examples have them.
+func printFlag(out io.Writer, f *flag.Flag) {
+	value, text := flag.UnquoteUsage(f)
+	_, _ = fmt.Fprintf(out, "  %s\n    \t%s", strings.TrimSpace("--"+f.Name+" "+value), text)
+	if f.DefValue != "" && f.DefValue != "false" && f.DefValue != "0" {
+		_, _ = fmt.Fprintf(out, " (default %s)", f.DefValue)
+	}
+	_, _ = fmt.Fprintln(out)
 }
 
 type addrPortValue struct{ target *netip.AddrPort }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -104,3 +104,13 @@
 		t.Errorf("got %v, expected %v", err, flag.ErrHelp)
 	}
 }
+
+func TestHelpShowsFlagsAsTheExamplesWriteThem(t *testing.T) {
+	var help strings.Builder
+	fs := flag.NewFlagSet("program", flag.ContinueOnError)
+	fs.Int("slots", 5, "`number` of requests")
+	err := settings.Parse(fs, []string{"--help"}, "program --slots 3", &help)
+	if err != flag.ErrHelp || !strings.Contains(help.String(), "  --slots number\n    \tnumber of requests (default 5)\n") {
+		t.Errorf("got %v and\n%s", err, help.String())
+	}
+}
