--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"gentianswitch/internal/events"
@@ -16,6 +17,8 @@
 	// catchUpDelay is the time in which a change normally reaches a balancer by itself after another one has it: the
 	// store answers in 4 ms, and in a few hundred when it is slow.
 	catchUpDelay = 300 * time.Millisecond
+	// seedDelay is the time in which a healthy store tells a balancer that starts all it needs: two calls of 4 ms.
+	seedDelay = 40 * time.Millisecond
 	// seedRetry is the time between two rounds of asking seeds while this balancer cannot forward. Its callers are waiting
 	// meanwhile, and their packets are repeated every 200 ms.
 	seedRetry = 150 * time.Millisecond
@@ -50,20 +53,27 @@
 // askSeeds asks other balancers for their state until this one can forward or ctx ends. The store is asked at the same
 // time; whoever answers first is taken.
 func (f *Forwarder) askSeeds(ctx context.Context) error {
-	for {
+	for wait := seedDelay; ; wait = seedRetry {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.informed:
 			return nil
-		case <-time.After(seedRetry):
+		case <-time.After(wait):
+			f.askAllSeeds(ctx)
 		}
-		for _, seed := range f.settings.Seeds {
-			if seed.Addr() != f.settings.Peer.Addr() {
-				f.fetch(ctx, netip.AddrPortFrom(seed.Addr(), f.settings.Peer.Port()))
-			}
+	}
+}
+
+// askAllSeeds asks the seeds at the same time, since one that has no power answers nothing.
+func (f *Forwarder) askAllSeeds(ctx context.Context) {
+	var asked sync.WaitGroup
+	for _, seed := range f.settings.Seeds {
+		if seed.Addr() != f.settings.Peer.Addr() {
+			asked.Go(func() { f.fetch(ctx, netip.AddrPortFrom(seed.Addr(), f.settings.Peer.Port())) })
 		}
 	}
+	asked.Wait()
 }
 
 func (f *Forwarder) fetch(ctx context.Context, from netip.AddrPort) {
