Remove the time of the last sign of life, which nothing read

Cause, found by reading the change: resident kept when its target was heard and no decision used it, so heartbeats took a time for nothing; the catalogue listed two keys for event 212 that the code does not write. Behaviour stays. Tests change only in that call.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -13,7 +13,7 @@
 	OpaqueFlowPassedOn = define(212, logrus.InfoLevel, "opaque flow passed on",
 		"An agent did not offer a packet that opens a flow to its target, or the target declined it; the next candidate "+
 			"or, when next is empty, the balancer has it.",
-		"flow", "next", "reason", "hops", "draining", "heard_ms")
+		"flow", "next", "reason", "hops")
 	OpaqueFlowLocated = define(213, logrus.InfoLevel, "opaque flow located",
 		"A flow was found behind its first candidate; the balancer remembers its agent.", "flow", "agent")
 	OpaqueFlowsLost = define(214, logrus.WarnLevel, "opaque flows lost",
--- a/internal/opaque/proof/world_test.go
+++ b/internal/opaque/proof/world_test.go
@@ -103,7 +103,7 @@
 
 func (w *world) beat(h *host) {
 	h.sequence++
-	outcome := h.agent.Heartbeat(w.now, resident.Heartbeat{
+	outcome := h.agent.Heartbeat(resident.Heartbeat{
 		Instance: instanceName(h), Started: h.instance, Sequence: h.sequence, Service: h.service,
 		Zone: "quito", Slots: 3, IsDraining: h.isDraining,
 	})
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -274,7 +274,7 @@
 
 // FromTarget returns the decision for a packet that the target sent.
 func (r *Resident) FromTarget(now time.Time, p *flow.Packet) Decision {
-	r.target.heard(now)
+	r.target.heard()
 	if p.IsBounced {
 		return r.bounced(p)
 	}
--- a/internal/opaque/resident/resident_test.go
+++ b/internal/opaque/resident/resident_test.go
@@ -37,7 +37,7 @@
 // beside returns the state beside a target that has announced itself.
 func beside() *resident.Resident {
 	r := resident.New(start, service)
-	r.Heartbeat(start, heartbeat(1))
+	r.Heartbeat(heartbeat(1))
 	return r
 }
 
@@ -128,7 +128,7 @@
 	g := NewWithT(t)
 	r := beside()
 	open(g, r, start, 1)
-	r.Heartbeat(after(10), draining(2))
+	r.Heartbeat(draining(2))
 	d := r.FromNode(after(11), opening(2), frame(next))
 	g.Expect(d.Verdict).To(Equal(resident.PassOn))
 	g.Expect(d.Reason).To(Equal(resident.Draining))
@@ -176,23 +176,23 @@
 func TestHeartbeatsOfEarlierIncarnationsAndOvertakenOnesChangeNothing(t *testing.T) {
 	g := NewWithT(t)
 	r := beside()
-	r.Heartbeat(start, draining(5))
+	r.Heartbeat(draining(5))
 	before := r.Entry()
 	late := heartbeat(4)
-	g.Expect(r.Heartbeat(start, late).IsStale).To(BeTrue())
+	g.Expect(r.Heartbeat(late).IsStale).To(BeTrue())
 	former := heartbeat(900)
 	former.Instance, former.Started = "i-0", 500
-	g.Expect(r.Heartbeat(start, former).IsStale).To(BeTrue())
+	g.Expect(r.Heartbeat(former).IsStale).To(BeTrue())
 	g.Expect(r.Entry()).To(Equal(before))
 }
 
 func TestANewIncarnationUnderTheSameInstanceStartsItsCountAnew(t *testing.T) {
 	g := NewWithT(t)
 	r := beside()
-	r.Heartbeat(start, draining(50))
+	r.Heartbeat(draining(50))
 	again := heartbeat(1)
 	again.Started = 2000
-	outcome := r.Heartbeat(start, again)
+	outcome := r.Heartbeat(again)
 	g.Expect(outcome.IsStale).To(BeFalse())
 	g.Expect(outcome.HasChanged).To(BeTrue())
 	g.Expect(r.Entry().IsDraining).To(BeFalse())
@@ -205,7 +205,7 @@
 	r.FromNode(start, opening(2), frame())
 	again := heartbeat(1)
 	again.Instance, again.Started = "i-2", 2000
-	ended := r.Heartbeat(after(500), again).Ended
+	ended := r.Heartbeat(again).Ended
 	g.Expect(ended).To(HaveLen(1), "the second flow was not open")
 	g.Expect(ended[0].ID.Caller.Port).To(BeEquivalentTo(1))
 	g.Expect(ended[0].Acknowledged).To(BeEquivalentTo(5000))
@@ -332,7 +332,7 @@
 func TestAnAgentThatHasJustStartedCannotRuleOutThatARepeatedOpeningIsOpen(t *testing.T) {
 	g := NewWithT(t)
 	r := beside()
-	r.Heartbeat(start, draining(2))
+	r.Heartbeat(draining(2))
 	repeated := opening(1)
 	repeated.Copies = 1
 	g.Expect(r.FromNode(after(10), repeated, frame(next)).Header.MayBeOpen).To(BeTrue())
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -33,7 +33,6 @@
 	last Heartbeat
 	// isKnown is set once a heartbeat has been taken; hasLeft once the target has said that it ends.
 	isKnown, hasLeft bool
-	heardAt          time.Time
 	offeredAt        time.Time
 	// isWaiting is set while no packet of the target has followed an opening packet.
 	isWaiting bool
@@ -61,9 +60,8 @@
 	t.isWaiting, t.offeredAt = true, now
 }
 
-func (t *target) heard(now time.Time) {
-	t.isWaiting, t.heardAt = false, now
-}
+// heard takes a sign of life.
+func (t *target) heard() { t.isWaiting = false }
 
 // Outcome is what a heartbeat has changed.
 type Outcome struct {
@@ -77,7 +75,7 @@
 }
 
 // Heartbeat takes a heartbeat of the target.
-func (r *Resident) Heartbeat(now time.Time, h Heartbeat) Outcome {
+func (r *Resident) Heartbeat(h Heartbeat) Outcome {
 	t := &r.target
 	if t.isKnown && t.isStale(h) {
 		return Outcome{IsStale: true}
@@ -88,7 +86,7 @@
 	}
 	before, former := r.Entry(), t.last.Instance
 	t.last, t.isKnown, t.hasLeft = h, true, false
-	t.heard(now)
+	t.heard()
 	return Outcome{HasChanged: before != r.Entry(), Ended: ended, Former: former}
 }
 
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -20,7 +20,7 @@
 		return eris.Errorf("heartbeat of service %s at %s, expected %s at %s", h.Service, address, s.settings.Service, s.settings.Target)
 	}
 	s.mu.Lock()
-	outcome := s.resident.Heartbeat(time.Now(), h)
+	outcome := s.resident.Heartbeat(h)
 	err := s.announce(outcome.HasChanged)
 	s.mu.Unlock()
 	if outcome.IsStale {
