Openings pass busy targets over; the least loaded of four takes them

Cause: flows were placed by hash alone. Besides, an opening that had waited in vain went on to the ninth candidate and waited anew, and a copy of an opening that went straight to its agent carried no urgency. Change: an agent whose target has no free slot passes an opening to the next candidate; after four busy ones, the least loaded takes it. Its place is told to the balancer, also while it waits, so that copies find it. Waiting openings are bounded by what the target serves in 1.2 s at its measured pace. An opening that waited in vain comes back as refused: the caller is told, unless a copy of it may have been accepted elsewhere.

--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -15,9 +15,9 @@
 	// maxWaiting bounds the flows that wait at a target: more than come back to one of seven targets when all callers of
 	// a deployment (700 in two seconds of outage) come at once.
 	maxWaiting = 256
-	// maxAge is the age up to which a flow may wait. Callers give an opening packet up after 1.4 s; what is left of that
+	// MaxAge is the age up to which a flow may wait. Callers give an opening packet up after 1.4 s; what is left of that
 	// is for the way and for the handshake.
-	maxAge = 1200 * time.Millisecond
+	MaxAge = 1200 * time.Millisecond
 )
 
 // Ages of a caller that sends a copy of its opening packet: copies leave after 200 ms and 600 ms.
@@ -49,6 +49,8 @@
 
 // Queue holds the flows that wait.
 type Queue[T any] struct {
+	// Limit is the number of flows that can be served before they are overdue, or 0 when that is not known.
+	Limit int
 	flows []waiting[T]
 }
 
@@ -68,7 +70,7 @@
 		}
 	}
 	q.flows = append(q.flows, waiting[T]{opening: o, since: now, born: born})
-	if len(q.flows) <= maxWaiting {
+	if len(q.flows) <= q.limit() {
 		return last, false
 	}
 	worst := 0
@@ -80,6 +82,13 @@
 	return q.remove(worst), true
 }
 
+func (q *Queue[T]) limit() int {
+	if q.Limit == 0 {
+		return maxWaiting
+	}
+	return min(q.Limit, maxWaiting)
+}
+
 // Next removes and returns the flow that is served next.
 func (q *Queue[T]) Next(now time.Time) (Opening[T], bool) {
 	if len(q.flows) == 0 {
@@ -98,7 +107,7 @@
 // Overdue removes and returns a flow that has waited for so long that its caller is about to give up.
 func (q *Queue[T]) Overdue(now time.Time) (Opening[T], bool) {
 	for i := range q.flows {
-		if now.Sub(q.flows[i].born) >= maxAge {
+		if now.Sub(q.flows[i].born) >= MaxAge {
 			return q.remove(i), true
 		}
 	}
--- a/internal/opaque/admission/admission_test.go
+++ b/internal/opaque/admission/admission_test.go
@@ -89,6 +89,21 @@
 	g.Expect(q.Len()).To(Equal(256))
 }
 
+// The pattern is the crest at a small target: 256 waiting openings are more than a target of two slots can serve before
+// their callers leave, so that most would wait in vain.
+func TestAQueueHoldsNoMoreThanCanBeServed(t *testing.T) {
+	g := NewWithT(t)
+	q := admission.Queue[string]{Limit: 30}
+	displaced := 0
+	for port := range 100 {
+		if _, isDisplaced := q.Add(start, opening(uint16(port), 1, 0)); isDisplaced {
+			displaced++
+		}
+	}
+	g.Expect(q.Len()).To(Equal(30))
+	g.Expect(displaced).To(Equal(70))
+}
+
 // The pattern is the common return: all callers of two seconds come back at once, and new ones go on arriving. A queue in
 // the order of arrival is late for all of them until the backlog is served.
 func TestCommonReturnServesNewCallersInTime(t *testing.T) {
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -101,7 +101,9 @@
 	now := time.Now()
 	switch h.Kind {
 	case hop.Returned:
-		f.returned(now, h, body)
+		f.returned(h, body, func(p *flow.Packet) steer.Decision { return f.steer.Returned(now, p, h) })
+	case hop.Refused:
+		f.returned(h, body, func(p *flow.Packet) steer.Decision { return f.steer.Refused(p, h) })
 	case hop.Located:
 		f.located(now, body, agent, desired.ServiceKey(h.Service))
 	case hop.Pong:
@@ -127,7 +129,8 @@
 	f.hasSeen(seen.Version, seen.Holder)
 }
 
-func (f *Forwarder) returned(now time.Time, h *hop.Header, datagram []byte) {
+// returned decides anew on a packet that an agent gave back.
+func (f *Forwarder) returned(h *hop.Header, datagram []byte, decide func(*flow.Packet) steer.Decision) {
 	p, err := f.parts.Codec.Decode(datagram)
 	if err != nil {
 		f.counters.malformed.Inc(1)
@@ -135,7 +138,7 @@
 	}
 	f.mu.Lock()
 	f.counters.walk.RecordValue(float64(h.Walked))
-	d := f.steer.Returned(now, &p, h)
+	d := decide(&p)
 	f.mu.Unlock()
 	f.carryOut(&p, d, datagram)
 }
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -23,6 +23,8 @@
 	Ping
 	// Pong answers a Ping. Its body is the highest Sighting that the agent has taken.
 	Pong
+	// Refused carries a caller's opening back to the balancer: it has waited in vain for room at a target.
+	Refused
 )
 
 // MaxCandidates bounds the candidates of a frame, so that a full datagram and its trailer fit an Ethernet frame.
@@ -31,9 +33,9 @@
 // Sizes of the trailer in bytes.
 const (
 	addressBytes = 4
-	// fixedBytes holds origin (4), service (8), sequence (2), epoch (2), objective (2), deferral (1), walked (1), hops (1),
-	// candidates (1) and kind (1).
-	fixedBytes = 23
+	// fixedBytes holds origin (4), service (8), sequence (2), epoch (2), objective (2), least loaded agent (4), its load
+	// (1), busy agents (1), deferral (1), walked (1), hops (1), candidates (1) and kind (1).
+	fixedBytes = 29
 	// MaxTrailer is the size of the largest trailer.
 	MaxTrailer = fixedBytes + MaxCandidates*addressBytes
 )
@@ -57,6 +59,13 @@
 	// MayBeOpen is set in a repeated opening when an agent that declined it cannot tell whether its target has accepted
 	// the flow before.
 	MayBeOpen bool
+	// Busy counts the agents that passed the opening over because their targets were busy. LeastLoaded is the one among
+	// them with the lowest load, and Load its load.
+	Busy        uint8
+	LeastLoaded IP
+	Load        uint8
+	// IsSettled is set when the next agent takes the opening although its target is busy.
+	IsSettled bool
 	// Objective is the latency objective of the flow's route in milliseconds, and Deferral tells by how many steps the
 	// route is less urgent than the most urgent one. They are set in a frame that opens a flow.
 	Objective uint16
@@ -75,6 +84,8 @@
 const (
 	confirmedBit = 0x80
 	mayBeOpenBit = 0x40
+	settledBit   = 0x20
+	kindMask     = 0x1f
 )
 
 // ErrMalformed means that a datagram is no frame.
@@ -97,7 +108,11 @@
 	if h.MayBeOpen {
 		kind |= mayBeOpenBit
 	}
-	return append(frame, h.Deferral, h.Walked, h.Hops, h.Count, kind)
+	if h.IsSettled {
+		kind |= settledBit
+	}
+	frame = append(frame, h.LeastLoaded[:]...)
+	return append(frame, h.Load, h.Busy, h.Deferral, h.Walked, h.Hops, h.Count, kind)
 }
 
 // Decode reads the trailer of a frame into h and returns the body before it.
@@ -110,12 +125,14 @@
 	h.Service = binary.BigEndian.Uint64(fixed[4:12])
 	h.Sequence = binary.BigEndian.Uint16(fixed[12:14])
 	h.Epoch, h.Objective = binary.BigEndian.Uint16(fixed[14:16]), binary.BigEndian.Uint16(fixed[16:18])
-	h.Deferral, h.Walked, h.Hops, h.Count = fixed[18], fixed[19], fixed[20], fixed[21]
-	kind := fixed[22]
-	h.Kind = Kind(kind &^ (confirmedBit | mayBeOpenBit))
-	h.IsConfirmed, h.MayBeOpen = kind&confirmedBit != 0, kind&mayBeOpenBit != 0
+	copy(h.LeastLoaded[:], fixed[18:22])
+	h.Load, h.Busy = fixed[22], fixed[23]
+	h.Deferral, h.Walked, h.Hops, h.Count = fixed[24], fixed[25], fixed[26], fixed[27]
+	kind := fixed[28]
+	h.Kind = Kind(kind & kindMask)
+	h.IsConfirmed, h.MayBeOpen, h.IsSettled = kind&confirmedBit != 0, kind&mayBeOpenBit != 0, kind&settledBit != 0
 	list := int(h.Count) * addressBytes
-	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Pong {
+	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Refused {
 		return nil, ErrMalformed
 	}
 	body, candidates := body[:len(body)-list], body[len(body)-list:]
--- a/internal/opaque/hop/hop_test.go
+++ b/internal/opaque/hop/hop_test.go
@@ -11,7 +11,7 @@
 func header() hop.Header {
 	h := hop.Header{
 		Kind: hop.Forward, Origin: hop.IP{10, 1, 0, 10}, Service: 0x1122334455667788, Sequence: 7, Epoch: 513, IsConfirmed: true, MayBeOpen: true, Objective: 250,
-		Deferral: 1, Walked: 3, Hops: 1, Count: 2,
+		Busy: 2, LeastLoaded: hop.IP{10, 3, 0, 4}, Load: 17, IsSettled: true, Deferral: 1, Walked: 3, Hops: 1, Count: 2,
 	}
 	h.Candidates[0], h.Candidates[1] = hop.IP{10, 1, 0, 13}, hop.IP{10, 2, 0, 9}
 	return h
@@ -52,9 +52,9 @@
 	tooMany := append([]byte(nil), whole...)
 	tooMany[len(tooMany)-2] = hop.MaxCandidates + 1
 	unknown := append([]byte(nil), whole...)
-	unknown[len(unknown)-1] = 99
+	unknown[len(unknown)-1] = byte(hop.Refused) + 1
 	for name, raw := range map[string][]byte{
-		"empty": nil, "short": whole[len(whole)-5:], "without its candidates": whole[len(whole)-23:],
+		"empty": nil, "short": whole[len(whole)-5:], "without its candidates": whole[len(whole)-29:],
 		"too many candidates": tooMany, "unknown kind": unknown,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/opaque/proof/proof_test.go
+++ b/internal/opaque/proof/proof_test.go
@@ -95,7 +95,7 @@
 	if h.hasLeft {
 		return
 	}
-	h.agent = resident.New(w.now, desired.KeyOf(h.service))
+	h.agent = resident.New(w.now, h.ip, desired.KeyOf(h.service))
 	w.beat(h)
 }
 
--- /dev/null
+++ b/internal/opaque/resident/busy_test.go
@@ -0,0 +1,134 @@
+package resident_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/resident"
+)
+
+// busy returns the state at an address beside a target of two slots with requests that run or wait.
+func busy(g Gomega, at hop.IP, requests uint16) *resident.Resident {
+	r := resident.New(start, at, service)
+	h := heartbeat(1)
+	h.Slots = 2
+	r.Heartbeat(h)
+	for port := range requests {
+		settled := frame()
+		settled.IsSettled = true
+		g.Expect(r.FromNode(start, opening(1000+port), settled).Verdict).To(Equal(resident.Deliver))
+	}
+	return r
+}
+
+func TestAnOpeningPassesABusyTargetOver(t *testing.T) {
+	g := NewWithT(t)
+	d := busy(g, here, 2).FromNode(start, opening(1), frame(next))
+	g.Expect(d.Verdict).To(Equal(resident.PassOn))
+	g.Expect(d.Reason).To(Equal(resident.Busy))
+	g.Expect(d.Next).To(Equal(next))
+	taken := busy(g, next, 1).FromNode(start, opening(1), &d.Header)
+	g.Expect(taken.Verdict).To(Equal(resident.Deliver), "one of its slots is free")
+	g.Expect(taken.TellOrigin).To(BeTrue(), "the next packet goes straight there")
+}
+
+func TestTheLeastLoadedOfTheBusyTargetsTakesAnOpening(t *testing.T) {
+	g := NewWithT(t)
+	agents := []hop.IP{here, {10, 2, 0, 1}, {10, 2, 0, 2}, {10, 2, 0, 3}, {10, 2, 0, 4}}
+	requests := map[hop.IP]uint16{agents[0]: 5, agents[1]: 3, agents[2]: 6, agents[3]: 7, agents[4]: 0}
+	h := frame(agents[1:]...)
+	at := here
+	var path []hop.IP
+	for range 10 {
+		d := busy(g, at, requests[at]).FromNode(start, opening(1), h)
+		path = append(path, at)
+		if d.Verdict == resident.Deliver {
+			break
+		}
+		g.Expect(d.Verdict).To(Equal(resident.PassOn))
+		at, h = d.Next, &d.Header
+	}
+	g.Expect(path).To(Equal([]hop.IP{agents[0], agents[1], agents[2], agents[3], agents[1]}), "after four it settles")
+}
+
+func TestTheLastCandidateSettlesAnOpening(t *testing.T) {
+	g := NewWithT(t)
+	least := busy(g, here, 2).FromNode(start, opening(1), frame(next))
+	// The last candidate takes no flow: its target drains.
+	drains := resident.New(start, next, service)
+	drains.Heartbeat(draining(1))
+	d := drains.FromNode(start, opening(1), &least.Header)
+	g.Expect(d.Verdict).To(Equal(resident.PassOn))
+	g.Expect(d.Next).To(Equal(here))
+	g.Expect(d.Header.IsSettled).To(BeTrue())
+	g.Expect(busy(g, here, 2).FromNode(start, opening(1), &d.Header).Verdict).To(Equal(resident.Deliver))
+
+	alone := busy(g, here, 2).FromNode(start, opening(1), frame())
+	g.Expect(alone.Verdict).To(Equal(resident.Deliver), "there is no other")
+}
+
+func TestABounceAtTheLeastLoadedTargetGoesBackToTheBalancer(t *testing.T) {
+	g := NewWithT(t)
+	r := busy(g, here, 2)
+	settled := frame()
+	settled.IsSettled, settled.Busy, settled.LeastLoaded = true, 4, here
+	bounced := opening(1)
+	bounced.Mark = r.FromNode(start, opening(1), settled).Mark
+	bounced.IsBounced = true
+	d := r.FromTarget(start, bounced)
+	g.Expect(d.Verdict).To(Equal(resident.GiveBack))
+	g.Expect(d.Header.Busy).To(BeEquivalentTo(4), "the balancer offers it to the busy ones once more")
+}
+
+func TestHandshakesThatAreNotCompletedDoNotMakeATargetBusy(t *testing.T) {
+	g := NewWithT(t)
+	r := busy(g, here, 2)
+	r.FromTarget(start, accept(1000))
+	g.Expect(r.FromNode(after(90), opening(1), frame(next)).Verdict).To(Equal(resident.PassOn))
+	g.Expect(r.FromNode(after(151), opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
+}
+
+func TestOpeningsThatWaitCountAsLoad(t *testing.T) {
+	g := NewWithT(t)
+	r := busy(g, here, 1)
+	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
+	r = busy(g, here, 1)
+	r.SetQueued(1)
+	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.PassOn))
+}
+
+func TestAWaitingOpeningIsMadeKnownToItsBalancer(t *testing.T) {
+	g := NewWithT(t)
+	h := frame()
+	h.IsSettled, h.Hops, h.Deferral = true, 2, 1
+	d := busy(g, here, 4).FromNode(start, opening(1), h)
+	g.Expect(d.Verdict).To(Equal(resident.Wait))
+	g.Expect(d.TellOrigin).To(BeTrue(), "copies shall find it")
+}
+
+func TestCapacityFollowsThePaceOfTheTargetWhileItIsFull(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	g.Expect(r.Capacity(time.Second)).To(BeZero(), "not known yet")
+	for port := range uint16(100) {
+		settled := frame()
+		settled.IsSettled = true
+		r.FromNode(start, opening(port), settled)
+		r.FromTarget(start, accept(port))
+		r.FromNode(start, data(port, 1), frame())
+	}
+	for port := range uint16(90) {
+		r.FromTarget(after(20*int(port)), answer(port))
+	}
+	g.Expect(r.Capacity(time.Second)).To(Equal(50))
+	for port := uint16(90); port < 100; port++ {
+		r.FromTarget(after(20*int(port)), answer(port))
+	}
+	before := r.Capacity(time.Second)
+	r.FromNode(after(2000), data(1, 200), frame())
+	r.FromTarget(after(9000), answer(1))
+	g.Expect(r.Capacity(time.Second)).To(Equal(before), "pauses of a target that is not full do not count")
+}
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -3,6 +3,7 @@
 package resident
 
 import (
+	"math"
 	"time"
 
 	"gentianswitch/internal/opaque/desired"
@@ -84,12 +85,22 @@
 	// roomFactor is the number of waiting flows for each slot up to which new flows are given to the target: as many
 	// requests wait there as run.
 	roomFactor = 2
+	// fullLoad is the load of a target all of whose slots are in use: fine enough to tell targets apart, and loads up to
+	// eight times as high fit a byte.
+	fullLoad = 32
+	// maxBusy is the number of busy targets after which an opening goes to the least loaded of them. The gain of further
+	// ones is small (docs/MEASUREMENTS.md), and each costs a hop.
+	maxBusy = 4
 	// waitLimit is the time after which a flow without packets no longer counts as waiting: its caller has left. Callers
 	// repeat unanswered packets at least every 1.6 s.
 	waitLimit = 2 * time.Second
 	// openingLifetime is the time for which callers repeat an opening (1.4 s), and a margin for its way. An agent that
 	// started later than that ago may have known the flow in its former run.
 	openingLifetime = 2 * time.Second
+	// firstCopy is the time after which a caller sends the first copy of an opening packet.
+	firstCopy = 200 * time.Millisecond
+	// paceSamples is the weight of the past in the running mean: as many answers as a slow start of two seconds has.
+	paceSamples = 32
 	// openLimit is the time in which a caller that is there completes the handshake: far above a round trip to callers,
 	// which is 2 to 6 ms. Later the flow no longer counts as waiting.
 	openLimit = 100 * time.Millisecond
@@ -132,6 +143,7 @@
 
 // Resident is the state of the decisions on one target.
 type Resident struct {
+	self      hop.IP
 	startedAt time.Time
 	service   desired.ServiceKey
 	target    target
@@ -139,13 +151,18 @@
 	marks     [markSlots]mark
 	// sequence numbers the delivered packets, from 1.
 	sequence uint32
-	// waiting is the number of flows whose isWaiting is set.
-	waiting int
+	// waiting is the number of flows whose isWaiting is set, queued the number of openings that wait for room.
+	waiting, queued int
+	sweptAt         time.Time
+	// pace is the running mean of the time between two answers of a target all of whose slots are in use. answeredAt is
+	// the moment of the last answer that left all slots in use.
+	pace       time.Duration
+	answeredAt time.Time
 }
 
-// New returns the state beside a target that runs a service, of an agent that starts now.
-func New(now time.Time, service desired.ServiceKey) *Resident {
-	return &Resident{startedAt: now, service: service, flows: make(map[flow.ID]*held)}
+// New returns the state of an agent at the address self, beside a target that runs a service, that starts now.
+func New(now time.Time, self hop.IP, service desired.ServiceKey) *Resident {
+	return &Resident{self: self, startedAt: now, service: service, flows: make(map[flow.ID]*held)}
 }
 
 // FromNode returns the decision for a caller's packet that a balancer or another agent sent.
@@ -157,14 +174,7 @@
 	f := r.flows[id]
 	if f == nil && p.Opens {
 		h.MayBeOpen = h.MayBeOpen || p.Copies > 0 && now.Sub(r.startedAt) < openingLifetime
-		if reason := r.target.refusal(now); reason != Accepting {
-			return decline(h, reason)
-		}
-		// The most urgent flows do not wait: the requests on flows that are open already would overtake them.
-		if h.Deferral > 0 && !r.HasRoom() {
-			return Decision{Verdict: Wait, Reason: Busy, Header: *h}
-		}
-		return r.offer(now, id, h)
+		return r.opens(now, id, h)
 	}
 	d := Decision{Verdict: Deliver, Mark: r.remember(h)}
 	if f != nil {
@@ -174,6 +184,68 @@
 	return d
 }
 
+// opens returns the decision for a packet that opens a flow which the target does not hold.
+func (r *Resident) opens(now time.Time, id flow.ID, h *hop.Header) Decision {
+	if reason := r.target.refusal(now); reason != Accepting {
+		return decline(h, reason)
+	}
+	if !h.IsSettled && r.isBusy(now) {
+		if d, isElsewhere := r.passOver(h); isElsewhere {
+			return d
+		}
+	}
+	// The most urgent flows do not wait: the requests on flows that are open already would overtake them.
+	if h.Deferral > 0 && !r.HasRoom() {
+		return Decision{Verdict: Wait, Reason: Busy, Header: *h, TellOrigin: h.Hops > 0}
+	}
+	return r.offer(now, id, h)
+}
+
+// isBusy reports whether no slot of the target is free.
+func (r *Resident) isBusy(now time.Time) bool {
+	if r.load() >= fullLoad && now.Sub(r.sweptAt) >= openLimit/2 {
+		r.Sweep(now)
+	}
+	return r.load() >= fullLoad
+}
+
+// passOver looks for a target with a free slot among the next candidates. When maxBusy of them have none, the least loaded
+// one takes the flow. It reports false when that is the target here.
+func (r *Resident) passOver(h *hop.Header) (Decision, bool) {
+	if load := r.load(); h.Busy == 0 || load < h.Load {
+		h.LeastLoaded, h.Load = r.self, load
+	}
+	h.Busy++
+	if h.Busy < maxBusy && h.Count > 0 {
+		return decline(h, Busy), true
+	}
+	if h.LeastLoaded == r.self {
+		return Decision{}, false
+	}
+	return settle(h, Busy), true
+}
+
+// settle sends an opening to the least loaded target that it was offered to.
+func settle(h *hop.Header, reason Reason) Decision {
+	d := Decision{Verdict: PassOn, Reason: reason, Header: *h, Next: h.LeastLoaded}
+	d.Header.IsSettled = true
+	d.Header.Hops++
+	return d
+}
+
+// load returns the requests that run or wait at the target and the openings in front of it, where fullLoad stands for all of its
+// slots.
+// An unknown target is idle.
+func (r *Resident) load() uint8 {
+	if !r.target.isKnown {
+		return 0
+	}
+	return uint8(min((r.waiting+r.queued)*fullLoad/max(r.target.last.Slots, 1), math.MaxUint8))
+}
+
+// SetQueued tells how many openings wait for room.
+func (r *Resident) SetQueued(count int) { r.queued = count }
+
 // Offer returns the decision for a packet that opens a flow and has waited for room.
 func (r *Resident) Offer(now time.Time, id flow.ID, h *hop.Header) Decision {
 	if reason := r.target.refusal(now); reason != Accepting {
@@ -187,17 +259,43 @@
 func (r *Resident) offer(now time.Time, id flow.ID, h *hop.Header) Decision {
 	r.target.offered(now)
 	r.hold(now, id)
-	return Decision{Verdict: Deliver, Mark: r.remember(h)}
+	return Decision{Verdict: Deliver, Mark: r.remember(h), TellOrigin: h.Hops > 0}
 }
 
-// GiveUp returns the decision for a packet that opens a flow and has waited in vain. The balancer tells the caller at
-// once; another target would make it wait anew.
-func (r *Resident) GiveUp(h *hop.Header) Decision {
+// GiveUp returns the decision for a packet that opens a flow and has waited in vain since a moment. The balancer tells the
+// caller at once, unless the caller has sent a copy meanwhile, which another target may have accepted.
+func (r *Resident) GiveUp(now, since time.Time, p *flow.Packet, h *hop.Header) Decision {
 	d := Decision{Verdict: GiveBack, Reason: Busy, Header: *h}
-	d.Header.Kind, d.Header.Count = hop.Returned, 0
+	d.Header.Kind, d.Header.Count = hop.Refused, 0
+	d.Header.MayBeOpen = h.MayBeOpen || p.Copies > 0 || now.Sub(since) >= firstCopy
 	return d
 }
 
+// Capacity returns the number of requests that the target answers in a time while all of its slots are in use, or 0 when
+// that is not known.
+func (r *Resident) Capacity(in time.Duration) int {
+	if r.pace == 0 {
+		return 0
+	}
+	return max(int(in/r.pace), 1)
+}
+
+// measurePace takes the moment of an answer. Two answers in a row count when all slots were in use between them.
+func (r *Resident) measurePace(now time.Time) {
+	isFull := r.target.isKnown && r.waiting >= r.target.last.Slots
+	if isFull && !r.answeredAt.IsZero() {
+		took := now.Sub(r.answeredAt)
+		if r.pace == 0 {
+			r.pace = took
+		}
+		r.pace += (took - r.pace) / paceSamples
+	}
+	r.answeredAt = time.Time{}
+	if isFull {
+		r.answeredAt = now
+	}
+}
+
 // HasRoom reports whether a new request would run at once or wait only briefly at the target. Before the target has
 // told its slots there is always room.
 func (r *Resident) HasRoom() bool {
@@ -294,8 +392,9 @@
 
 func (r *Resident) answered(now time.Time, f *held, p *flow.Packet) {
 	f.seen, f.isServed = now, f.isOpen
-	if p.Payload > 0 || p.Finishes {
+	if f.isWaiting && (p.Payload > 0 || p.Finishes) {
 		r.setWaiting(f, false)
+		r.measurePace(now)
 	}
 	if p.Finishes {
 		f.finished |= targetFinished
@@ -335,6 +434,9 @@
 func decline(h *hop.Header, reason Reason) Decision {
 	d := Decision{Verdict: PassOn, Reason: reason, Header: *h}
 	next, ok := d.Header.Next()
+	if !ok && h.Busy > 0 && !h.IsSettled {
+		return settle(h, reason)
+	}
 	if !ok {
 		d.Verdict, d.Header.Kind = GiveBack, hop.Returned
 		return d
@@ -352,6 +454,7 @@
 
 // Sweep forgets flows that have ended or gone idle.
 func (r *Resident) Sweep(now time.Time) {
+	r.sweptAt = now
 	for id, f := range r.flows {
 		idle := now.Sub(f.seen)
 		switch {
--- a/internal/opaque/resident/resident_test.go
+++ b/internal/opaque/resident/resident_test.go
@@ -36,7 +36,7 @@
 
 // beside returns the state beside a target that has announced itself.
 func beside() *resident.Resident {
-	r := resident.New(start, service)
+	r := resident.New(start, here, service)
 	r.Heartbeat(heartbeat(1))
 	return r
 }
@@ -76,7 +76,7 @@
 	g.Expect(r.FromNode(now, data(port, 1), frame()).Verdict).To(Equal(resident.Deliver))
 }
 
-var next = hop.IP{10, 2, 0, 9}
+var here, next = hop.IP{10, 1, 0, 1}, hop.IP{10, 2, 0, 9}
 
 func TestAPacketForAnotherServiceIsPassedOn(t *testing.T) {
 	g := NewWithT(t)
@@ -149,7 +149,7 @@
 
 func TestAnAgentThatHasJustStartedServesBeforeTheFirstHeartbeat(t *testing.T) {
 	g := NewWithT(t)
-	r := resident.New(start, service)
+	r := resident.New(start, here, service)
 	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
 	g.Expect(r.FromNode(start, data(2, 1), frame(next)).Verdict).To(Equal(resident.Deliver),
 		"its target may hold flows from before")
@@ -230,9 +230,11 @@
 	open(g, r, start, 1)
 	open(g, r, start, 2)
 	deferred := frame(next)
-	deferred.Deferral = 1
+	deferred.Deferral, deferred.IsSettled = 1, true
 	g.Expect(r.FromNode(start, opening(3), deferred).Verdict).To(Equal(resident.Wait))
-	g.Expect(r.FromNode(start, opening(4), frame(next)).Verdict).To(Equal(resident.Deliver), "urgent ones do not")
+	urgent := frame(next)
+	urgent.IsSettled = true
+	g.Expect(r.FromNode(start, opening(4), urgent).Verdict).To(Equal(resident.Deliver), "urgent ones do not")
 	r.FromTarget(start, answer(1))
 	r.FromTarget(start, answer(2))
 	r.FromTarget(start, answer(4))
@@ -296,10 +298,19 @@
 
 func TestAnOpeningThatWaitedInVainGoesBackWithoutAWalk(t *testing.T) {
 	g := NewWithT(t)
-	d := beside().GiveUp(frame(next))
+	d := beside().GiveUp(after(1), start, opening(1), frame(next))
 	g.Expect(d.Verdict).To(Equal(resident.GiveBack))
 	g.Expect(d.Header.Count).To(BeZero())
-	g.Expect(d.Header.Kind).To(Equal(hop.Returned))
+	g.Expect(d.Header.Kind).To(Equal(hop.Refused))
+	g.Expect(d.Header.MayBeOpen).To(BeFalse())
+}
+
+func TestAnOpeningWhoseCopyMayBeOpenElsewhereIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(beside().GiveUp(after(200), start, opening(1), frame()).Header.MayBeOpen).To(BeTrue(), "a copy has left")
+	repeated := opening(1)
+	repeated.Copies = 1
+	g.Expect(beside().GiveUp(after(1), start, repeated, frame()).Header.MayBeOpen).To(BeTrue())
 }
 
 func TestTheFlowTableIsBounded(t *testing.T) {
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -75,14 +75,14 @@
 		if !ok {
 			return
 		}
-		s.giveUp(&overdue.Item)
+		s.giveUp(now, &overdue.Item)
 	}
 }
 
 // giveUp returns a flow that has waited in vain to its balancer.
-func (s *Sidecar) giveUp(o *opening) {
+func (s *Sidecar) giveUp(now time.Time, o *opening) {
 	s.mu.Lock()
-	d := s.resident.GiveUp(&o.header)
+	d := s.resident.GiveUp(now, o.since, &o.packet, &o.header)
 	s.mu.Unlock()
 	s.carryOut(&o.packet, d, o.datagram)
 }
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/admission"
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
@@ -57,18 +58,19 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
+	s.resident.SetQueued(s.openings.Len())
 	d := s.resident.FromNode(now, &p, h)
+	var displaced admission.Opening[opening]
+	isDisplaced := false
 	if d.Verdict == resident.Wait {
-		displaced, isDisplaced := s.openings.Add(now, newOpening(now, &p, h, datagram))
+		s.openings.Limit = s.resident.Capacity(admission.MaxAge)
+		displaced, isDisplaced = s.openings.Add(now, newOpening(now, &p, h, datagram))
 		s.logWaits(&p, h)
-		s.mu.Unlock()
-		s.counters.verdict(d.Verdict).Inc(1)
-		if isDisplaced {
-			s.giveUp(&displaced.Item)
-		}
-		return
 	}
 	s.mu.Unlock()
+	if isDisplaced {
+		s.giveUp(now, &displaced.Item)
+	}
 	if d.TellOrigin {
 		s.tell(h.Origin, p.FromCaller())
 	}
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -86,9 +86,10 @@
 
 // New returns a sidecar that does not run yet.
 func New(settings Settings, parts Parts) *Sidecar {
+	self := hop.IP(settings.Data.Addr().As4())
 	return &Sidecar{
-		settings: settings, parts: parts, self: hop.IP(settings.Data.Addr().As4()), counters: newCounters(parts.Scope),
-		changed: make(chan struct{}, 1), resident: resident.New(time.Now(), desired.KeyOf(settings.Service)),
+		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
+		changed: make(chan struct{}, 1), resident: resident.New(time.Now(), self, desired.KeyOf(settings.Service)),
 	}
 }
 
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -52,13 +52,14 @@
 	LateReset
 	Churn
 	MayBeOpen
+	Overload
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
 		"candidates", "located", "no_configuration", "no_route", "no_target", "all_declined",
-		"reset_of_unknown_flow", "view_changes", "may_be_open",
+		"reset_of_unknown_flow", "view_changes", "may_be_open", "overload",
 	}[r]
 }
 
@@ -158,10 +159,20 @@
 	if !ok || !s.view.IsUsable(known.agent) {
 		return s.walk(now, p, Decision{Route: route}, 0, false)
 	}
-	return Decision{
+	d := Decision{
 		Verdict: Forward, Reason: Remembered, Route: route, Agent: known.agent,
 		Header: hop.Header{Kind: hop.Forward, Origin: s.self, Epoch: s.epoch, Service: uint64(known.service)},
 	}
+	s.setUrgency(&d, p)
+	return d
+}
+
+// setUrgency tells in the header of an opening how urgent its route is.
+func (s *Steer) setUrgency(d *Decision, p *flow.Packet) {
+	if p.Opens {
+		d.Header.Deferral = s.table.Deferral(d.Route)
+		d.Header.Objective = uint16(min(d.Route.Objective.Milliseconds(), math.MaxUint16))
+	}
 }
 
 // Returned returns the decision for a packet that came back with the header h: its candidates have declined it. When the
@@ -176,13 +187,29 @@
 	case h.Hops > maxHops:
 		return Decision{Verdict: Drop, Reason: Churn, Route: route}
 	}
-	d := Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen, Hops: h.Hops}}
+	d := Decision{Route: route, Header: hop.Header{
+		MayBeOpen: h.MayBeOpen, Hops: h.Hops, Busy: h.Busy, IsSettled: h.IsSettled,
+	}}
 	if h.Epoch == s.epoch {
 		return s.walk(now, p, d, int(h.Walked), h.IsConfirmed)
 	}
 	return s.walk(now, p, d, 0, false)
 }
 
+// Refused returns the decision for an opening with the header h that has waited in vain at an agent. At another target it
+// would wait anew. When another target may have taken a copy, nothing is said.
+func (s *Steer) Refused(p *flow.Packet, h *hop.Header) Decision {
+	route, refusal := s.route(p, p.FromCaller())
+	switch {
+	case route == nil:
+		return refusal
+	case h.MayBeOpen:
+		return Decision{Verdict: Drop, Reason: MayBeOpen, Route: route}
+	default:
+		return Decision{Verdict: Reset, Reason: Overload, Route: route}
+	}
+}
+
 // Confirmed returns the decision for a packet whose walk with the header h has ended in vain, after the targets have been
 // read from the store. A flow is placed only on a target that the store knows, so the view holds its target.
 func (s *Steer) Confirmed(now time.Time, p *flow.Packet, h *hop.Header) Decision {
@@ -202,7 +229,12 @@
 	d.Header.Kind, d.Header.Origin = hop.Forward, s.self
 	d.Header.Epoch, d.Header.IsConfirmed = s.epoch, isConfirmed
 	if !s.fill(&d, now, p, walked) {
-		return s.exhausted(p, d, isConfirmed)
+		if d.Header.Busy == 0 {
+			return s.exhausted(p, d, isConfirmed)
+		}
+		// Targets that were only busy are offered the opening once more.
+		d.Header.Busy, d.Header.IsSettled = 0, true
+		return s.walk(now, p, d, 0, isConfirmed)
 	}
 	hops := d.Header.Hops
 	d.Agent, _ = d.Header.Next()
@@ -247,10 +279,7 @@
 func (s *Steer) fill(d *Decision, now time.Time, p *flow.Packet, walked int) bool {
 	id := p.FromCaller()
 	hash := id.Hash()
-	if p.Opens {
-		d.Header.Deferral = s.table.Deferral(d.Route)
-		d.Header.Objective = uint16(min(d.Route.Objective.Milliseconds(), math.MaxUint16))
-	}
+	s.setUrgency(d, p)
 	var buffer [maxGroups]desired.ServiceKey
 	skipped := 0
 	for _, service := range s.groups(buffer[:0], now, d.Route, id, hash, p.Opens) {
--- a/internal/opaque/steer/steer_test.go
+++ b/internal/opaque/steer/steer_test.go
@@ -290,3 +290,43 @@
 	g.Expect(d.Header.Deferral).To(BeEquivalentTo(2))
 	g.Expect(d.Header.Objective).To(BeEquivalentTo(250))
 }
+
+func TestTargetsThatWereOnlyBusyAreAskedOnceMore(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1, 2, 3)
+	vain := ended(s, 3)
+	vain.Busy = 2
+	again := s.Returned(start, opening(), vain)
+	g.Expect(again.Verdict).To(Equal(steer.Forward))
+	g.Expect(again.Header.IsSettled).To(BeTrue(), "a busy target takes it now")
+	g.Expect(again.Header.Walked).To(BeEquivalentTo(3))
+	g.Expect(s.Returned(start, opening(), &again.Header).Verdict).To(Equal(steer.Reset), "but not for ever")
+}
+
+func TestAnOpeningThatWaitedInVainIsToldWithoutAnotherWalk(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
+	refused := &hop.Header{Kind: hop.Refused, Walked: 8}
+	d := s.Refused(opening(), refused)
+	g.Expect(d.Verdict).To(Equal(steer.Reset))
+	g.Expect(d.Reason).To(Equal(steer.Overload))
+	refused.MayBeOpen = true
+	g.Expect(s.Refused(opening(), refused).Verdict).To(Equal(steer.Drop))
+	s.Apply(start, table(2, nil))
+	g.Expect(s.Refused(opening(), refused).Reason).To(Equal(steer.NoRoute))
+}
+
+func TestACopyThatGoesStraightToItsAgentIsAsUrgentAsTheFirst(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := serving(1, 2, 3)
+	s.Apply(start, table(2, map[flow.Endpoint]*desired.Route{
+		address: route(2, "pedidos"), {IP: [4]byte{198, 18, 0, 2}, Port: 443}: route(1, "pedidos"),
+	}))
+	first := s.Decide(start, opening())
+	g.Expect(first.Header.Deferral).To(BeEquivalentTo(1))
+	s.Locate(start, opening().FromCaller(), first.Header.Candidates[0], desired.KeyOf("pedidos"))
+	straight := s.Decide(start, opening())
+	g.Expect(straight.Reason).To(Equal(steer.Remembered))
+	g.Expect(straight.Header.Deferral).To(BeEquivalentTo(1))
+	g.Expect(straight.Header.Objective).To(Equal(first.Header.Objective))
+}
