Lines of a placement carry the age of what decided

Cause: a line of event 210 named the configuration's version, but neither the revision and age of the target's entry nor the age of the agent's last pong; lines of agents (212, 218) did not tell how old the target's last heartbeat was. Change: the fields revision, entry_ms, pong_ms and heartbeat_ms; -1 stands for never. The specs of the operators' page check them; they failed before.

--- a/integration/opaque_explain_test.go
+++ b/integration/opaque_explain_test.go
@@ -67,7 +67,7 @@
 		Expect(err).To(MatchError(standin.ErrReset))
 		values := map[string]string{"FLOW": c.Flow()}
 		Eventually(func() string { return runPageCommand(d, "trail", values) }).WithTimeout(patience).Should(And(
-			ContainSubstring("opaque flow placed"),
+			MatchRegexp(`"entry_ms":\d+.*"msg":"opaque flow placed","pong_ms":-?\d+.*"revision":[1-9]`),
 			ContainSubstring(`"former":"`+first+`"`),
 		))
 		Expect(runPageCommand(d, "target", map[string]string{"INSTANCE": first})).To(ContainSubstring("target state"))
@@ -88,7 +88,7 @@
 		Expect(c.Open()).To(MatchError(standin.ErrReset))
 		Eventually(func() string { return runPageCommand(d, "trail", map[string]string{"FLOW": c.Flow()}) }).
 			WithTimeout(patience).Should(And(
-			ContainSubstring(`"msg":"opaque flow waits"`),
+			MatchRegexp(`"heartbeat_ms":\d+.*"msg":"opaque flow waits"`),
 			ContainSubstring(`"reason":"busy"`),
 			ContainSubstring(`"msg":"opaque flow reset"`),
 		))
--- a/internal/events/logger.go
+++ b/internal/events/logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,14 @@
 	return Field{Key: key, Value: value}
 }
 
+// Age returns the field for the milliseconds since a moment. A zero moment, of something that never was, has the age -1.
+func Age(key string, now, at time.Time) Field {
+	if at.IsZero() {
+		return Field{Key: key, Value: -1}
+	}
+	return Field{Key: key, Value: now.Sub(at).Milliseconds()}
+}
+
 // Err returns the field for an error, or one with an empty value for nil.
 func Err(err error) Field {
 	if err == nil {
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -5,8 +5,9 @@
 // Events of opaque flows. The key flow is caller>address, the same in all programs.
 var (
 	OpaqueFlowPlaced = define(210, logrus.InfoLevel, "opaque flow placed",
-		"A balancer sent a packet that opens a flow to the first of its candidates.",
-		"flow", "copies", "route", "agent", "candidates", "reason", "configuration")
+		"A balancer sent a packet that opens a flow to the first of its candidates. It took the target's entry of this "+
+			"revision entry_ms ago, and the agent last answered a ping pong_ms ago; -1 is never.",
+		"flow", "copies", "route", "agent", "candidates", "reason", "configuration", "revision", "entry_ms", "pong_ms")
 	OpaqueFlowReset = define(211, logrus.InfoLevel, "opaque flow reset",
 		"The caller was told that its flow is not served. When opens is set, no request of it has run.",
 		"flow", "opens", "route", "reason", "configuration", "targets")
@@ -24,8 +25,9 @@
 			"caller; without, other targets are asked first. Whether the flow's last request has run is not known.",
 		"flow", "former", "instance")
 	OpaqueFlowWaits = define(218, logrus.InfoLevel, "opaque flow waits",
-		"An opening of a less urgent route waits at the agent, since twice as many flows as slots wait for the target.",
-		"flow", "copies", "deferral", "waiting", "busy", "slots")
+		"An opening of a less urgent route waits at the agent, since twice as many flows as slots wait for the target. "+
+			"The target's last heartbeat came heartbeat_ms ago; -1 is never.",
+		"flow", "copies", "deferral", "waiting", "busy", "slots", "heartbeat_ms")
 	OpaquePacketsHeldLost = define(216, logrus.WarnLevel, "opaque packets given up",
 		"No candidate holds the flows of these packets, and the store could not confirm that no target does; nothing was reset.",
 		"packets", "error")
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -55,6 +55,8 @@
 	Entry    registry.Entry
 	Revision store.Version
 	State    Reachability
+	// EnteredAt is when the balancer took the entry. AnsweredAt is when the agent last answered a ping, or zero.
+	EnteredAt, AnsweredAt time.Time
 
 	service   desired.ServiceKey
 	seed      uint64
@@ -103,6 +105,14 @@
 	return all
 }
 
+// Known returns what the balancer knows of the target beside an agent.
+func (d *Directory) Known(agent hop.IP) (Target, bool) {
+	if t := d.targets[agent]; t != nil {
+		return *t, true
+	}
+	return Target{}, false
+}
+
 // Put takes an entry of the store. Older revisions than the known one change nothing.
 func (d *Directory) Put(now time.Time, agent hop.IP, e registry.Entry, revision store.Version) (Change, bool) {
 	known := d.targets[agent]
@@ -117,6 +127,7 @@
 		d.targets[agent] = known
 	}
 	known.Entry, known.Revision, known.service = e, revision, desired.KeyOf(e.Service)
+	known.EnteredAt = now
 	d.compile()
 	return Change{Target: *known, Reason: "entry"}, true
 }
@@ -156,7 +167,11 @@
 // Pong takes the answer of an agent.
 func (d *Directory) Pong(now time.Time, agent hop.IP, sequence uint16) (Change, bool) {
 	t := d.targets[agent]
-	if t == nil || !t.isAsked && t.State == Reachable || t.sequence-sequence > suspectAfter {
+	if t == nil {
+		return Change{}, false
+	}
+	t.AnsweredAt = now
+	if !t.isAsked && t.State == Reachable || t.sequence-sequence > suspectAfter {
 		return Change{}, false
 	}
 	t.isAsked, t.missed, t.nextPing = false, 0, now.Add(pingInterval)
--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -253,3 +253,18 @@
 	run(d, now, 3*time.Second, func(a hop.IP) bool { return a == agent(1) })
 	g.Expect(order(d, 42, false)).To(Equal([]hop.IP{agent(1)}))
 }
+
+func TestTheAgesOfABeliefAreKnown(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(1)
+	_, isKnown := d.Known(agent(2))
+	g.Expect(isKnown).To(BeFalse())
+	known, _ := d.Known(agent(1))
+	g.Expect(known.EnteredAt).To(Equal(start))
+	g.Expect(known.AnsweredAt.IsZero()).To(BeTrue())
+	g.Expect(known.Revision).To(BeEquivalentTo(1))
+	pings, _ := d.Tick(start.Add(time.Second))
+	d.Pong(start.Add(1010*time.Millisecond), agent(1), pings[0].Sequence)
+	known, _ = d.Known(agent(1))
+	g.Expect(known.AnsweredAt).To(Equal(start.Add(1010 * time.Millisecond)))
+}
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -90,9 +90,15 @@
 	if !f.parts.Log.IsEnabled(events.OpaqueFlowPlaced) {
 		return
 	}
+	now := time.Now()
+	f.mu.Lock()
+	target, _ := f.directory.Known(d.Agent)
+	f.mu.Unlock()
 	f.parts.Log.Emit(events.OpaqueFlowPlaced, events.F("flow", p.FromCaller().String()), events.F("copies", p.Copies),
 		events.F("route", routeName(d)), events.F("agent", ipText(d.Agent)), events.F("candidates", d.Header.Count),
-		events.F("reason", d.Reason.String()), events.F("configuration", f.version()))
+		events.F("reason", d.Reason.String()), events.F("configuration", f.version()),
+		events.F("revision", target.Revision), events.Age("entry_ms", now, target.EnteredAt),
+		events.Age("pong_ms", now, target.AnsweredAt))
 }
 
 func (f *Forwarder) logDropped(p *flow.Packet, d steer.Decision) {
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -21,6 +21,9 @@
 	}
 	s.mu.Lock()
 	outcome := s.resident.Heartbeat(h)
+	if !outcome.IsStale {
+		s.heardAt = time.Now()
+	}
 	err := s.announce(outcome.HasChanged)
 	s.mu.Unlock()
 	if outcome.IsStale {
@@ -36,6 +39,12 @@
 	return err
 }
 
+func (s *Sidecar) heartbeatAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heardAt
+}
+
 // Leave implements Announcements.
 func (s *Sidecar) Leave(instance string) {
 	s.mu.Lock()
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -143,7 +143,8 @@
 		next = netip.AddrFrom4(d.Next).String()
 	}
 	s.parts.Log.Emit(events.OpaqueFlowPassedOn, events.F("flow", p.FromCaller().String()), events.F("next", next),
-		events.F("reason", d.Reason.String()), events.F("hops", d.Header.Hops))
+		events.F("reason", d.Reason.String()), events.F("hops", d.Header.Hops),
+		events.Age("heartbeat_ms", time.Now(), s.heartbeatAt()))
 }
 
 // logForgotten tells that the target no longer holds a flow that it has served.
@@ -159,5 +160,5 @@
 	busy, slots := s.resident.Load()
 	s.parts.Log.Emit(events.OpaqueFlowWaits, events.F("flow", p.FromCaller().String()), events.F("copies", p.Copies),
 		events.F("deferral", h.Deferral), events.F("waiting", s.openings.Len()), events.F("busy", busy),
-		events.F("slots", slots))
+		events.F("slots", slots), events.Age("heartbeat_ms", time.Now(), s.heardAt))
 }
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -80,6 +80,8 @@
 	resident *resident.Resident
 	openings admission.Queue[opening]
 	writer   registry.Writer
+	// heardAt is when the last heartbeat of the target was taken, or zero.
+	heardAt time.Time
 	// isStoreLost is set from a failed call to the store until one succeeds.
 	isStoreLost bool
 }
