Callers of refused openings are told again, when it is safe

Cause: since openings pass busy targets over, a copy of an opening may be accepted elsewhere while the first waits; so an opening that had waited in vain for 200 ms was dropped without a word, and its caller waited for another 200 ms. Found by reading; the spec of a refused flow failed. Besides, while openings waited, a copy that found room was offered at once, and the first packet stayed in the queue: given up later, it would have reset a flow that was open. Ruled out: telling always (a copy may be open elsewhere, and a reset would end it). Change: the queue notes which copies of an opening have come. When none that the caller has sent by then is missing, no other target can have it, and the caller is told. An opening that is offered leaves the queue, and no opening overtakes those that wait. Before: spec 'a flow that was refused in an overload' red, since the refusal came without a reset. After: green; the new spec 'open on a target with a free slot' as well.

--- a/integration/opaque_test.go
+++ b/integration/opaque_test.go
@@ -38,6 +38,23 @@
 		}
 	})
 
+	It("open on a target with a free slot", func() {
+		d := newOpaqueDeployment(1, 2)
+		running := func(t *standin.Target) (count int) {
+			for i := range 2 * standin.Slots {
+				count += t.Runs(fmt.Sprint(standin.Stalled, i))
+			}
+			return count
+		}
+		for i := range 2 * standin.Slots {
+			c := d.newCaller(through(d.balancers[0]))
+			open(c)
+			go func() { _, _ = c.Ask(fmt.Sprint(standin.Stalled, i)) }()
+			Eventually(func() int { return running(d.targets[0]) + running(d.targets[1]) }).WithTimeout(patience).Should(Equal(i + 1))
+		}
+		Expect(running(d.targets[0])).To(Equal(standin.Slots), "by their hash alone, flows do not part evenly")
+	})
+
 	It("survive the kill of every balancer", func() {
 		d := newOpaqueDeployment(2, 3)
 		c := d.newCaller(through(d.balancers[0]))
--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -39,12 +39,17 @@
 	Copies uint32
 	// Item goes with the flow.
 	Item T
+	// MayBeElsewhere is set in a flow that leaves the queue when its caller has sent a packet that did not come here. A
+	// target elsewhere may have accepted the flow.
+	MayBeElsewhere bool
 }
 
 type waiting[T any] struct {
 	opening Opening[T]
 	// since is when the flow came, and born when its caller began at the latest.
 	since, born time.Time
+	// seen has a bit for each copy of the opening packet that has come, the first packet being copy 0.
+	seen uint8
 }
 
 // Queue holds the flows that wait.
@@ -60,16 +65,18 @@
 // Add puts a flow into the queue. A copy of a flow that waits only tells how old it is. When the queue is full, the flow
 // that would be served last is returned, and displaced is true.
 func (q *Queue[T]) Add(now time.Time, o Opening[T]) (last Opening[T], displaced bool) {
-	born := now.Add(-copyAges[min(int(o.Copies), len(copyAges)-1)])
+	copies := min(int(o.Copies), len(copyAges)-1)
+	born := now.Add(-copyAges[copies])
 	for i := range q.flows {
 		if q.flows[i].opening.ID == o.ID {
 			if born.Before(q.flows[i].born) {
 				q.flows[i].born = born
 			}
+			q.flows[i].seen |= 1 << copies
 			return last, false
 		}
 	}
-	q.flows = append(q.flows, waiting[T]{opening: o, since: now, born: born})
+	q.flows = append(q.flows, waiting[T]{opening: o, since: now, born: born, seen: 1 << copies})
 	if len(q.flows) <= q.limit() {
 		return last, false
 	}
@@ -79,7 +86,7 @@
 			worst = i
 		}
 	}
-	return q.remove(worst), true
+	return q.remove(now, worst), true
 }
 
 func (q *Queue[T]) limit() int {
@@ -101,22 +108,33 @@
 			best = i
 		}
 	}
-	return q.remove(best), true
+	return q.remove(now, best), true
 }
 
 // Overdue removes and returns a flow that has waited for so long that its caller is about to give up.
 func (q *Queue[T]) Overdue(now time.Time) (Opening[T], bool) {
 	for i := range q.flows {
 		if now.Sub(q.flows[i].born) >= MaxAge {
-			return q.remove(i), true
+			return q.remove(now, i), true
 		}
 	}
 	var none Opening[T]
 	return none, false
 }
 
-func (q *Queue[T]) remove(i int) Opening[T] {
+// Remove removes a flow that has been offered to the target without waiting on.
+func (q *Queue[T]) Remove(id flow.ID) {
+	for i := range q.flows {
+		if q.flows[i].opening.ID == id {
+			q.remove(time.Time{}, i)
+			return
+		}
+	}
+}
+
+func (q *Queue[T]) remove(now time.Time, i int) Opening[T] {
 	o := q.flows[i].opening
+	o.MayBeElsewhere = q.flows[i].missesCopies(now)
 	last := len(q.flows) - 1
 	q.flows[i] = q.flows[last]
 	q.flows[last] = waiting[T]{}
@@ -124,6 +142,16 @@
 	return o
 }
 
+// missesCopies reports whether the caller has sent a packet that has not come here.
+func (w *waiting[T]) missesCopies(now time.Time) bool {
+	for copies, age := range copyAges {
+		if now.Sub(w.born) >= age && w.seen&(1<<copies) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // before reports whether a is served before b: the more urgent route, then who can still be in time, then who has come
 // first.
 func before[T any](now time.Time, a, b *waiting[T]) bool {
--- a/internal/opaque/admission/admission_test.go
+++ b/internal/opaque/admission/admission_test.go
@@ -71,6 +71,45 @@
 	g.Expect(isOverdue).To(BeTrue())
 }
 
+func TestAFlowWhoseCopiesAllCameIsOnlyHere(t *testing.T) {
+	for name, test := range map[string]struct {
+		copies         []uint32
+		atMS           int
+		mayBeElsewhere bool
+	}{
+		"before the first copy leaves":  {[]uint32{0}, 199, false},
+		"the first copy is missing":     {[]uint32{0}, 200, true},
+		"the first copy came":           {[]uint32{0, 1}, 599, false},
+		"the second copy is missing":    {[]uint32{0, 1}, 600, true},
+		"all came":                      {[]uint32{0, 1, 2}, 1200, false},
+		"the first packet is missing":   {[]uint32{1}, 1, true},
+		"the first copy went elsewhere": {[]uint32{0, 2}, 1200, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var q admission.Queue[string]
+			for _, copies := range test.copies {
+				q.Add(after([]int{0, 200, 600}[copies]), opening(1, 1, copies))
+			}
+			start := 0
+			if test.copies[0] == 1 {
+				start = 200
+			}
+			next, _ := q.Next(after(start + test.atMS))
+			NewWithT(t).Expect(next.MayBeElsewhere).To(Equal(test.mayBeElsewhere))
+		})
+	}
+}
+
+func TestAFlowThatIsOfferedLeavesTheQueue(t *testing.T) {
+	g := NewWithT(t)
+	var q admission.Queue[string]
+	q.Add(start, opening(1, 1, 0))
+	q.Add(start, opening(2, 1, 0))
+	q.Remove(opening(1, 1, 0).ID)
+	q.Remove(opening(7, 1, 0).ID)
+	g.Expect(order(&q, start)).To(Equal([]uint16{2}))
+}
+
 func TestAFullQueueGivesUpTheLeastUrgentFlow(t *testing.T) {
 	g := NewWithT(t)
 	var q admission.Queue[string]
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -97,8 +97,6 @@
 	// openingLifetime is the time for which callers repeat an opening (1.4 s), and a margin for its way. An agent that
 	// started later than that ago may have known the flow in its former run.
 	openingLifetime = 2 * time.Second
-	// firstCopy is the time after which a caller sends the first copy of an opening packet.
-	firstCopy = 200 * time.Millisecond
 	// paceSamples is the weight of the past in the running mean: as many answers as a slow start of two seconds has.
 	paceSamples = 32
 	// openLimit is the time in which a caller that is there completes the handshake: far above a round trip to callers,
@@ -194,8 +192,9 @@
 			return d
 		}
 	}
-	// The most urgent flows do not wait: the requests on flows that are open already would overtake them.
-	if h.Deferral > 0 && !r.HasRoom() {
+	// The most urgent flows do not wait: the requests on flows that are open already would overtake them. Others do not
+	// overtake those that wait.
+	if h.Deferral > 0 && (r.queued > 0 || !r.HasRoom()) {
 		return Decision{Verdict: Wait, Reason: Busy, Header: *h, TellOrigin: h.Hops > 0}
 	}
 	return r.offer(now, id, h)
@@ -262,12 +261,12 @@
 	return Decision{Verdict: Deliver, Mark: r.remember(h), TellOrigin: h.Hops > 0}
 }
 
-// GiveUp returns the decision for a packet that opens a flow and has waited in vain since a moment. The balancer tells the
-// caller at once, unless the caller has sent a copy meanwhile, which another target may have accepted.
-func (r *Resident) GiveUp(now, since time.Time, p *flow.Packet, h *hop.Header) Decision {
+// GiveUp returns the decision for a packet that opens a flow and has waited in vain. The balancer tells the caller at once,
+// unless a copy of the packet may have been accepted elsewhere.
+func (r *Resident) GiveUp(h *hop.Header, mayBeElsewhere bool) Decision {
 	d := Decision{Verdict: GiveBack, Reason: Busy, Header: *h}
 	d.Header.Kind, d.Header.Count = hop.Refused, 0
-	d.Header.MayBeOpen = h.MayBeOpen || p.Copies > 0 || now.Sub(since) >= firstCopy
+	d.Header.MayBeOpen = h.MayBeOpen || mayBeElsewhere
 	return d
 }
 
--- a/internal/opaque/resident/resident_test.go
+++ b/internal/opaque/resident/resident_test.go
@@ -298,19 +298,23 @@
 
 func TestAnOpeningThatWaitedInVainGoesBackWithoutAWalk(t *testing.T) {
 	g := NewWithT(t)
-	d := beside().GiveUp(after(1), start, opening(1), frame(next))
+	d := beside().GiveUp(frame(next), false)
 	g.Expect(d.Verdict).To(Equal(resident.GiveBack))
 	g.Expect(d.Header.Count).To(BeZero())
 	g.Expect(d.Header.Kind).To(Equal(hop.Refused))
 	g.Expect(d.Header.MayBeOpen).To(BeFalse())
+	g.Expect(beside().GiveUp(frame(), true).Header.MayBeOpen).To(BeTrue(), "a copy may be open elsewhere")
 }
 
-func TestAnOpeningWhoseCopyMayBeOpenElsewhereIsNotRefused(t *testing.T) {
+func TestAnOpeningDoesNotOvertakeThoseThatWait(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(beside().GiveUp(after(200), start, opening(1), frame()).Header.MayBeOpen).To(BeTrue(), "a copy has left")
-	repeated := opening(1)
-	repeated.Copies = 1
-	g.Expect(beside().GiveUp(after(1), start, repeated, frame()).Header.MayBeOpen).To(BeTrue())
+	r := beside()
+	r.SetQueued(1)
+	h := frame()
+	h.Deferral, h.IsSettled = 1, true
+	g.Expect(r.FromNode(start, opening(1), h).Verdict).To(Equal(resident.Wait))
+	h.Deferral = 0
+	g.Expect(r.FromNode(start, opening(2), h).Verdict).To(Equal(resident.Deliver))
 }
 
 func TestTheFlowTableIsBounded(t *testing.T) {
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -75,14 +75,14 @@
 		if !ok {
 			return
 		}
-		s.giveUp(now, &overdue.Item)
+		s.giveUp(&overdue)
 	}
 }
 
 // giveUp returns a flow that has waited in vain to its balancer.
-func (s *Sidecar) giveUp(now time.Time, o *opening) {
+func (s *Sidecar) giveUp(o *admission.Opening[opening]) {
 	s.mu.Lock()
-	d := s.resident.GiveUp(now, o.since, &o.packet, &o.header)
+	d := s.resident.GiveUp(&o.Item.header, o.MayBeElsewhere)
 	s.mu.Unlock()
-	s.carryOut(&o.packet, d, o.datagram)
+	s.carryOut(&o.Item.packet, d, o.Item.datagram)
 }
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -62,19 +62,25 @@
 	d := s.resident.FromNode(now, &p, h)
 	var displaced admission.Opening[opening]
 	isDisplaced := false
-	if d.Verdict == resident.Wait {
+	switch {
+	case d.Verdict == resident.Deliver && p.Opens:
+		s.openings.Remove(p.FromCaller())
+	case d.Verdict == resident.Wait:
 		s.openings.Limit = s.resident.Capacity(admission.MaxAge)
 		displaced, isDisplaced = s.openings.Add(now, newOpening(now, &p, h, datagram))
 		s.logWaits(&p, h)
 	}
 	s.mu.Unlock()
 	if isDisplaced {
-		s.giveUp(now, &displaced.Item)
+		s.giveUp(&displaced)
 	}
 	if d.TellOrigin {
 		s.tell(h.Origin, p.FromCaller())
 	}
 	s.carryOut(&p, d, datagram)
+	if d.Verdict == resident.Wait {
+		s.offerNext(now)
+	}
 }
 
 // tell lets a balancer know that a flow is here.
