A target without a sign of life counts as gone

Cause: after a loss of power, targets that were draining do not come back, but their agents do. Nobody said that they had left, their entries stayed, and their VMs were taken away a second apart. A packet of a flow that had ended with its target is offered to every target; it vanished at the first VM that did not answer, for 2 s each. Change: an agent that gets neither a heartbeat nor an acceptance nor data from its target for 2.5 heartbeats says so in the store, tells the callers of its flows, and declines packets. Ticks are counted, not time, so that an agent that stood still does not take its target for gone. The interval comes from the platform's settings.

--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"net/netip"
+	"time"
 
 	"gentianswitch/internal/keys"
 	"gentianswitch/internal/metrics"
@@ -28,14 +29,19 @@
 	store, service             string
 	outbound, target, announce netip.AddrPort
 	peer                       netip.AddrPort
+	heartbeat                  time.Duration
 }
 
+// shortestHeartbeat keeps a wrong setting from making targets come and go: a pause of a busy VM is shorter.
+const shortestHeartbeat = 100 * time.Millisecond
+
 func (o *opaqueOptions) define(fs *flag.FlagSet) {
 	fs.StringVar(&o.store, "store", "", "`host:port` of the platform's metadata store")
 	fs.StringVar(&o.service, "service", "", "`name` of the service that the target runs")
 	settings.AddrPortVar(fs, &o.target, "target", "IPv4 `ip:port` at which the local target receives packets")
 	settings.AddrPortVar(fs, &o.outbound, "outbound", "IPv4 `ip:port` that receives the packets of the target")
 	settings.AddrPortVar(fs, &o.announce, "announce", "IPv4 `ip:port` that receives the heartbeats of the target")
+	fs.DurationVar(&o.heartbeat, "heartbeat", time.Second, "interval of the target's heartbeats")
 	settings.AddrPortVar(fs, &o.peer, "peer", "IPv4 `ip:port` whose port is that at which balancers receive frames")
 }
 
@@ -46,6 +52,9 @@
 	if o.service == "" {
 		return common.Missing("service", "the name of a service")
 	}
+	if o.heartbeat < shortestHeartbeat {
+		return common.Missing("heartbeat", "at least "+shortestHeartbeat.String())
+	}
 	for _, a := range []struct {
 		name  string
 		value netip.AddrPort
@@ -69,7 +78,7 @@
 func (o *opaqueOptions) newProcess(parts program.Parts) (program.Process, error) {
 	s := sidecar.Settings{
 		Data: parts.Common.Data, Outbound: o.outbound, Target: o.target, Announce: o.announce,
-		PeerPort: o.peer.Port(), Service: o.service,
+		PeerPort: o.peer.Port(), Service: o.service, Heartbeat: o.heartbeat,
 	}
 	return opaqueProcess{sidecar.New(s, sidecar.Parts{
 		Codec:           platform.Packets{},
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -18,12 +18,13 @@
 	OpaqueFlowLocated = define(213, logrus.InfoLevel, "opaque flow located",
 		"A flow was found behind its first candidate; the balancer remembers its agent.", "flow", "agent")
 	OpaqueFlowsLost = define(214, logrus.WarnLevel, "opaque flows lost",
-		"The target has ended and started again; the callers of its open flows were told.",
+		"The target has ended, and may have started again; the callers of its open flows were told.",
 		"instance", "flows")
 	OpaqueFlowEnded = define(217, logrus.InfoLevel, "opaque flow ended with its target",
-		"The target has started again and no longer holds a flow that it has served. With an instance, the agent has told the "+
-			"caller; without, other targets are asked first. Whether the flow's last request has run is not known.",
-		"flow", "former", "instance")
+		"The target has ended, or started again as instance, and no longer holds a flow that it has served. When told is set, "+
+			"the agent has told the caller; else other targets are asked first. Whether the flow's last request has run is not "+
+			"known.",
+		"flow", "former", "instance", "told")
 	OpaqueFlowWaits = define(218, logrus.InfoLevel, "opaque flow waits",
 		"An opening of a less urgent route waits at the agent, since twice as many flows as slots wait for the target. "+
 			"The target's last heartbeat came heartbeat_ms ago; -1 is never.",
@@ -48,6 +49,10 @@
 		"instance", "error")
 	TargetLeft = define(314, logrus.InfoLevel, "target left",
 		"The target has ended by plan.", "instance")
+	TargetSilent = define(316, logrus.WarnLevel, "target silent",
+		"The target has given no sign of life for two and a half heartbeats: it counts as gone until its next one. Its open "+
+			"flows have ended. Its last heartbeat came heartbeat_ms ago; -1 is never.",
+		"instance", "flows", "heartbeat_ms")
 	EntryWritten = define(315, logrus.InfoLevel, "entry written",
 		"The store holds the target's entry.", "revision", "draining", "left")
 
--- a/internal/opaque/proof/proof_test.go
+++ b/internal/opaque/proof/proof_test.go
@@ -6,7 +6,6 @@
 
 	"pgregory.net/rapid"
 
-	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/resident"
 )
@@ -20,6 +19,7 @@
 		"a balancer hears":       func(*rapid.T) { w.sync(w.anyBalancer()) },
 		"an agent restarts":      func(*rapid.T) { w.restartAgent() },
 		"a target restarts":      func(*rapid.T) { w.startTarget(w.anyHost()) },
+		"a target falls silent":  func(*rapid.T) { w.fallSilent() },
 		"a target drains":        func(*rapid.T) { w.drain() },
 		"a target leaves":        func(*rapid.T) { w.leave() },
 		"a target is added":      func(*rapid.T) { w.add() },
@@ -95,10 +95,26 @@
 	if h.hasLeft {
 		return
 	}
-	h.agent = resident.New(w.now, h.ip, desired.KeyOf(h.service))
+	h.agent = resident.New(w.now, h.ip, h.service)
 	w.beat(h)
 }
 
+// fallSilent ends a target without a word, and lets the time pass in which its agent notices.
+func (w *world) fallSilent() {
+	h := w.anyHost()
+	if h.hasLeft {
+		return
+	}
+	h.hasLeft = true
+	h.flows = map[flow.ID]bool{}
+	for range 2 * resident.TicksPerHeartbeat * 2 {
+		for _, e := range h.agent.Tick().Ended {
+			w.expectDead(e.ID, "an agent that hears nothing reset a flow")
+		}
+	}
+	w.write(h)
+}
+
 func (w *world) drain() {
 	h := w.anyHost()
 	if !h.hasLeft {
--- a/internal/opaque/proof/world_test.go
+++ b/internal/opaque/proof/world_test.go
@@ -89,7 +89,7 @@
 
 // startHost starts the agent and the target of a VM.
 func (w *world) startHost(h *host) {
-	h.agent = resident.New(w.now, h.ip, desired.KeyOf(h.service))
+	h.agent = resident.New(w.now, h.ip, h.service)
 	w.startTarget(h)
 }
 
--- a/internal/opaque/resident/crest_test.go
+++ b/internal/opaque/resident/crest_test.go
@@ -30,7 +30,7 @@
 func newCrowd(targets, workMS int) *crowd {
 	c := &crowd{random: rand.New(rand.NewPCG(1, 2)), workMS: workMS, running: make([][]request, targets)}
 	for i := range targets {
-		r := resident.New(start, crowdAgent(i), service)
+		r := resident.New(start, crowdAgent(i), "pedidos")
 		h := heartbeat(1)
 		h.Slots = crowdSlots
 		r.Heartbeat(h)
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -143,10 +143,12 @@
 type Resident struct {
 	self      hop.IP
 	startedAt time.Time
-	service   desired.ServiceKey
-	target    target
-	flows     map[flow.ID]*held
-	marks     [markSlots]mark
+	// serviceName is the name of the service.
+	serviceName string
+	service     desired.ServiceKey
+	target      target
+	flows       map[flow.ID]*held
+	marks       [markSlots]mark
 	// sequence numbers the delivered packets, from 1.
 	sequence uint32
 	// waiting is the number of flows whose isWaiting is set, queued the number of openings that wait for room.
@@ -159,8 +161,8 @@
 }
 
 // New returns the state of an agent at the address self, beside a target that runs a service, that starts now.
-func New(now time.Time, self hop.IP, service desired.ServiceKey) *Resident {
-	return &Resident{self: self, startedAt: now, service: service, flows: make(map[flow.ID]*held)}
+func New(now time.Time, self hop.IP, service string) *Resident {
+	return &Resident{self: self, startedAt: now, serviceName: service, service: desired.KeyOf(service), flows: make(map[flow.ID]*held)}
 }
 
 // FromNode returns the decision for a caller's packet that a balancer or another agent sent.
@@ -174,6 +176,9 @@
 		h.MayBeOpen = h.MayBeOpen || p.Copies > 0 && now.Sub(r.startedAt) < openingLifetime
 		return r.opens(now, id, h)
 	}
+	if r.target.isMissed || r.target.hasLeft && f == nil {
+		return decline(h, Absent)
+	}
 	d := Decision{Verdict: Deliver, Mark: r.remember(h)}
 	if f != nil {
 		d.Reason = Held
@@ -371,10 +376,15 @@
 
 // FromTarget returns the decision for a packet that the target sent.
 func (r *Resident) FromTarget(now time.Time, p *flow.Packet) Decision {
-	r.target.heard()
 	if p.IsBounced {
+		r.target.reacted()
 		return r.bounced(p)
 	}
+	if p.Accepts || p.Payload > 0 {
+		r.target.heard()
+	} else {
+		r.target.reacted()
+	}
 	id := p.FromTarget()
 	f := r.flows[id]
 	switch {
--- a/internal/opaque/resident/resident_test.go
+++ b/internal/opaque/resident/resident_test.go
@@ -36,7 +36,7 @@
 
 // beside returns the state beside a target that has announced itself.
 func beside() *resident.Resident {
-	r := resident.New(start, here, service)
+	r := resident.New(start, here, "pedidos")
 	r.Heartbeat(heartbeat(1))
 	return r
 }
@@ -149,7 +149,7 @@
 
 func TestAnAgentThatHasJustStartedServesBeforeTheFirstHeartbeat(t *testing.T) {
 	g := NewWithT(t)
-	r := resident.New(start, here, service)
+	r := resident.New(start, here, "pedidos")
 	g.Expect(r.FromNode(start, opening(1), frame(next)).Verdict).To(Equal(resident.Deliver))
 	g.Expect(r.FromNode(start, data(2, 1), frame(next)).Verdict).To(Equal(resident.Deliver),
 		"its target may hold flows from before")
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -13,6 +13,12 @@
 	acceptLimit = 80 * time.Millisecond
 	// retryInterval is the time after which a target that has been silent is offered a flow again.
 	retryInterval = 300 * time.Millisecond
+	// TicksPerHeartbeat is the number of ticks in the interval of the target's heartbeats.
+	TicksPerHeartbeat = 2
+	// absentTicks is the number of ticks without a sign of the target after which it counts as gone: two heartbeats that
+	// failed, and half an interval for the spread of their times. Ticks are counted, not time, since an agent that has
+	// stood still has heard nothing.
+	absentTicks = 5 * TicksPerHeartbeat / 2
 )
 
 // Heartbeat is what a target says of itself.
@@ -36,13 +42,20 @@
 	offeredAt        time.Time
 	// isWaiting is set while no packet of the target has followed an opening packet.
 	isWaiting bool
+	// silentTicks counts the ticks since the last sign of life, up to absentTicks.
+	silentTicks int
+	// isMissed is set from the tick that has found the target silent until its next heartbeat.
+	isMissed bool
 }
 
+// isAbsent reports whether there is no target: it has said that it ends, or it gave no sign of life for too long.
+func (t *target) isAbsent() bool { return t.hasLeft || t.isMissed }
+
 // refusal returns why the target is offered no new flow, or Accepting. An agent that has just started offers flows
 // before the first heartbeat: its target may have run all the time.
 func (t *target) refusal(now time.Time) Reason {
 	switch {
-	case t.hasLeft:
+	case t.isAbsent():
 		return Absent
 	case t.isKnown && t.last.IsDraining:
 		return Draining
@@ -61,7 +74,11 @@
 }
 
 // heard takes a sign of life.
-func (t *target) heard() { t.isWaiting = false }
+func (t *target) heard() { t.isWaiting, t.silentTicks = false, 0 }
+
+// reacted takes a packet that no running target is needed for: a VM whose target has ended still bounces packets and
+// resets flows.
+func (t *target) reacted() { t.isWaiting = false }
 
 // Outcome is what a heartbeat has changed.
 type Outcome struct {
@@ -85,7 +102,7 @@
 		ended = r.lost()
 	}
 	before, former := r.Entry(), t.last.Instance
-	t.last, t.isKnown, t.hasLeft = h, true, false
+	t.last, t.isKnown, t.hasLeft, t.isMissed = h, true, false, false
 	t.heard()
 	return Outcome{HasChanged: before != r.Entry(), Ended: ended, Former: former}
 }
@@ -101,6 +118,19 @@
 	return h.Sequence <= t.last.Sequence
 }
 
+// Tick takes the passing of a part of the heartbeats' interval. When the target has given no sign of life for too long, its
+// flows have ended. A target that an agent has never heard of is gone as well: its VM has lost power, or it has left.
+func (r *Resident) Tick() Outcome {
+	t := &r.target
+	t.silentTicks = min(t.silentTicks+1, absentTicks)
+	if t.silentTicks < absentTicks || t.isMissed {
+		return Outcome{}
+	}
+	before := r.Entry()
+	t.isMissed = true
+	return Outcome{HasChanged: before != r.Entry(), Ended: r.lost(), Former: t.last.Instance}
+}
+
 // Leave takes the end of an instance, and reports whether it is that of the target.
 func (r *Resident) Leave(instance string) bool {
 	t := &r.target
@@ -111,14 +141,18 @@
 	return true
 }
 
-// Entry returns what the store has to hold of the target, or the zero Entry before the first heartbeat.
+// Entry returns what the store has to hold of the target, or the zero Entry while nothing is known of it.
 func (r *Resident) Entry() registry.Entry {
 	t := &r.target
-	if !t.isKnown {
+	switch {
+	case t.isKnown:
+		return registry.Entry{
+			Service: t.last.Service, Zone: t.last.Zone, Slots: t.last.Slots,
+			IsDraining: t.last.IsDraining, HasLeft: t.isAbsent(),
+		}
+	case t.isAbsent():
+		return registry.Entry{Service: r.serviceName, HasLeft: true}
+	default:
 		return registry.Entry{}
 	}
-	return registry.Entry{
-		Service: t.last.Service, Zone: t.last.Zone, Slots: t.last.Slots,
-		IsDraining: t.last.IsDraining, HasLeft: t.hasLeft,
-	}
 }
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/registry"
@@ -39,6 +40,26 @@
 	return err
 }
 
+// watchTarget looks for signs of the target until ctx ends.
+func (s *Sidecar) watchTarget(ctx context.Context) error {
+	duty.Every(ctx, s.settings.Heartbeat/resident.TicksPerHeartbeat, func(now time.Time) {
+		s.mu.Lock()
+		outcome := s.resident.Tick()
+		err := s.announce(outcome.HasChanged)
+		heardAt := s.heardAt
+		s.mu.Unlock()
+		if err != nil {
+			s.Malformed(outcome.Former, err)
+		}
+		if outcome.HasChanged {
+			s.parts.Log.Emit(events.TargetSilent, events.F("instance", outcome.Former), events.F("flows", len(outcome.Ended)),
+				events.Age("heartbeat_ms", now, heardAt))
+		}
+		s.resetAll("", outcome)
+	})
+	return nil
+}
+
 func (s *Sidecar) heartbeatAt() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,7 +106,7 @@
 	return nil
 }
 
-// resetAll tells the callers of flows that ended with their target.
+// resetAll tells the callers of flows that ended with their target. The instance that has taken its place may be empty.
 func (s *Sidecar) resetAll(instance string, outcome resident.Outcome) {
 	if len(outcome.Ended) == 0 {
 		return
@@ -94,7 +115,7 @@
 	var buffer [64]byte
 	for _, e := range outcome.Ended {
 		s.parts.Log.Emit(events.OpaqueFlowEnded, events.F("flow", e.ID.String()), events.F("former", outcome.Former),
-			events.F("instance", instance))
+			events.F("instance", instance), events.F("told", true))
 		packet := s.parts.Codec.AppendReset(buffer[:0], e.ID, e.Acknowledged)
 		s.write(packet, callerAddress(e.ID, s.settings.Data.Port()))
 	}
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -158,7 +158,8 @@
 	s.mu.Lock()
 	instance := s.resident.Instance()
 	s.mu.Unlock()
-	s.parts.Log.Emit(events.OpaqueFlowEnded, events.F("flow", p.FromCaller().String()), events.F("former", instance))
+	s.parts.Log.Emit(events.OpaqueFlowEnded, events.F("flow", p.FromCaller().String()), events.F("former", instance),
+		events.F("told", false))
 }
 
 // logWaits tells that an opening waits. The caller holds mu.
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -16,7 +16,6 @@
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/admission"
-	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/registry"
@@ -39,6 +38,8 @@
 	PeerPort uint16
 	// Service is the name of the service that the target runs.
 	Service string
+	// Heartbeat is the interval of the target's heartbeats.
+	Heartbeat time.Duration
 }
 
 // Announcements takes what the target says of itself. The sidecar implements it.
@@ -91,7 +92,7 @@
 	self := hop.IP(settings.Data.Addr().As4())
 	return &Sidecar{
 		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
-		changed: make(chan struct{}, 1), resident: resident.New(time.Now(), self, desired.KeyOf(settings.Service)),
+		changed: make(chan struct{}, 1), resident: resident.New(time.Now(), self, settings.Service),
 	}
 }
 
@@ -106,6 +107,7 @@
 	group.Go("announcements", s.serveAnnouncements)
 	group.Go("entry", s.keepEntry)
 	group.Go("sweep", s.sweep)
+	group.Go("presence", s.watchTarget)
 	group.Go("openings", s.endOverdue)
 	group.Go("close", func(ctx context.Context) error {
 		<-ctx.Done()
