A flow is not looked for at a silent agent that is far down its order

Ruled out: a shorter time until an agent is dead (it would end flows of agents that stand still for a second). Change: a suspect agent is asked only when it is among the first eight in the order of the flow, whatever the state of the others. Flows are placed among those; further ones only when eight targets decline. On pools of up to eight nothing changes.

--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -268,3 +269,43 @@
 	known, _ = d.Known(agent(1))
 	g.Expect(known.AnsweredAt).To(Equal(start.Add(1010 * time.Millisecond)))
 }
+
+// The pattern is a release whose VMs are taken away one after the other: a packet of a flow that has ended is offered to
+// every target, and vanished at the VM that had just gone.
+func TestAFlowIsNotLookedForAtASilentAgentThatIsFarDown(t *testing.T) {
+	g := NewWithT(t)
+	const silent, others = 50, 49
+	d := filled(silent)
+	quiet := filled(silent)
+	silence(d, agent(silent))
+	near, far := 0, 0
+	for flow := range uint64(2000) {
+		natural, _ := quiet.View().Order(service, flow, directory.OpenFlow, 0, make([]hop.IP, 0, silent))
+		asked, total := d.View().Order(service, flow, directory.OpenFlow, 0, make([]hop.IP, 0, silent))
+		g.Expect(total).To(Equal(len(asked)))
+		if slices.Index(natural, agent(silent)) < hop.MaxCandidates {
+			g.Expect(asked).To(HaveLen(silent))
+			g.Expect(asked[others]).To(Equal(agent(silent)), "it may be there: asked last")
+			near++
+			continue
+		}
+		g.Expect(asked).To(HaveLen(others))
+		g.Expect(asked).NotTo(ContainElement(agent(silent)))
+		far++
+	}
+	g.Expect(far).To(BeNumerically(">", 4*near))
+}
+
+// silence lets an agent become suspect.
+func silence(d *directory.Directory, silent hop.IP) {
+	now := start
+	for known, _ := d.Known(silent); known.State == directory.Reachable; known, _ = d.Known(silent) {
+		now = now.Add(75 * time.Millisecond)
+		pings, _ := d.Tick(now)
+		for _, ping := range pings {
+			if ping.Agent != silent {
+				d.Pong(now, ping.Agent, ping.Sequence)
+			}
+		}
+	}
+}
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -92,17 +92,22 @@
 	var buffer [orderBuffer]scored
 	order, wanted := buffer[:0], skip+cap(out)-len(out)
 	total := 0
+	var nearest threshold
 	for i := range pool {
 		c := &pool[i]
 		if c.State == Dead || to == NewFlow && c.IsDraining {
 			continue
 		}
+		score := rendezvous.Score(flow, c.Seed, c.Weight)
+		if c.State == Suspect && score < nearest.score(pool, flow) {
+			continue
+		}
 		tier := uint8(c.State)
 		if to == RepeatedOpening && c.IsDraining {
 			tier = uint8(Dead)
 		}
 		total++
-		ranked := scored{agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: tier}
+		ranked := scored{agent: c.Agent, score: score, tier: tier}
 		order = insert(order, wanted, ranked)
 	}
 	for i := skip; i < len(order); i++ {
@@ -111,6 +116,32 @@
 	return out, total
 }
 
+// nearCandidates is the number of first candidates among which a flow is placed: one frame. It goes further only when all
+// of these decline it.
+const nearCandidates = hop.MaxCandidates
+
+// threshold is the score of the last of the nearCandidates, once it has been asked for.
+type threshold struct {
+	value   float64
+	isKnown bool
+}
+
+// score returns the lowest score of the first candidates of a flow, whatever their state. A packet sent to an agent that
+// does not answer is lost; so a flow is not looked for at such an agent when it is not placed there. Its caller, whose flow
+// has ended elsewhere, is told at once.
+func (t *threshold) score(pool []Candidate, flow uint64) float64 {
+	if t.isKnown {
+		return t.value
+	}
+	var buffer [nearCandidates]scored
+	order := buffer[:0]
+	for i := range pool {
+		order = insert(order, nearCandidates, scored{score: rendezvous.Score(flow, pool[i].Seed, pool[i].Weight)})
+	}
+	t.value, t.isKnown = order[len(order)-1].score, true
+	return t.value
+}
+
 // insert puts a candidate in its place in the order, unless it is behind all that are wanted.
 func insert(order []scored, wanted int, c scored) []scored {
 	if len(order) == wanted {
