In an overload the newest waiting opening goes first

Cause: openings of less urgent routes waited in the order of their arrival among those that could still be in time. While callers come faster than targets serve them, each was offered when half of its objective was gone, and the run took the rest. Ruled out: idle targets (two requests a slot wait in front of each); refusing sooner (what is refused comes again as new). Change: once a waiting opening can no longer be in time, the newest goes first; until then, the first that came.

--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -80,9 +80,9 @@
 	if len(q.flows) <= q.limit() {
 		return last, false
 	}
-	worst := 0
+	worst, by := 0, q.order(now)
 	for i := range q.flows {
-		if before(now, &q.flows[worst], &q.flows[i]) {
+		if before(by, &q.flows[worst], &q.flows[i]) {
 			worst = i
 		}
 	}
@@ -102,9 +102,9 @@
 		var none Opening[T]
 		return none, false
 	}
-	best := 0
+	best, by := 0, q.order(now)
 	for i := range q.flows {
-		if before(now, &q.flows[i], &q.flows[best]) {
+		if before(by, &q.flows[i], &q.flows[best]) {
 			best = i
 		}
 	}
@@ -152,16 +152,38 @@
 	return false
 }
 
+// order tells which of two flows is served before the other at a moment.
+type order struct {
+	now time.Time
+	// isOverloaded is set when a flow has missed its objective. From then on the newest flow goes first: in the order of
+	// arrival, every flow would be served when it is about to miss its objective as well.
+	isOverloaded bool
+}
+
+func (q *Queue[T]) order(now time.Time) order {
+	o := order{now: now}
+	for i := range q.flows {
+		if !q.flows[i].isInTime(now) {
+			o.isOverloaded = true
+			break
+		}
+	}
+	return o
+}
+
 // before reports whether a is served before b: the more urgent route, then who can still be in time, then who has come
-// first.
-func before[T any](now time.Time, a, b *waiting[T]) bool {
+// first, or last in an overload.
+func before[T any](o order, a, b *waiting[T]) bool {
 	if a.opening.Urgency.Deferral != b.opening.Urgency.Deferral {
 		return a.opening.Urgency.Deferral < b.opening.Urgency.Deferral
 	}
-	if inTime := a.isInTime(now); inTime != b.isInTime(now) {
+	if inTime := a.isInTime(o.now); inTime != b.isInTime(o.now) {
 		return inTime
 	}
-	return a.since.Before(b.since)
+	if o.isOverloaded {
+		return a.born.After(b.born)
+	}
+	return a.born.Before(b.born)
 }
 
 // isInTime reports whether the flow can be answered within its objective. Half of the objective is left for the run.
