Pings follow the flows that a balancer carries

Cause: each balancer pinged each agent once a second: at 17,000 balancers and 120,000 agents, two thousand million pings a second. Ruled out: fewer observers that tell the others (balancers do not know each other, and a message for each change to each balancer is again from each to each). Change: an agent is pinged while the balancer has sent it a packet in the last two seconds, or while it does not answer; dead ones less and less, down to once in 5 s. Three agents, other ones for each balancer, are pinged without a packet, so that a balancer without flows hears of new configurations. When a caller repeats an opening, all candidates of its frame are asked, since any of them may be gone. A balancer counts as cut off when no agent has answered for 2 s: agents that it never asks say nothing. Tests: TestOnlyAgentsInUseArePinged and TestAnIsolatedBalancerBelievesNoAgentDeadThatItUses failed with the old code.

--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -15,9 +15,16 @@
 
 // Times of the reachability check.
 const (
-	// pingInterval is the time between two pings of an agent that answers. The agents of a small deployment get a few a
-	// second from all balancers together; docs/CAPACITY.md has the cost.
+	// pingInterval is the time between two pings of an agent that answers.
 	pingInterval = time.Second
+	// usedFor is the time since a packet was sent to an agent for which it is pinged. So pings follow the flows that a
+	// balancer carries, whatever the number of agents; docs/CAPACITY.md has the cost.
+	usedFor = 2 * pingInterval
+	// alwaysPinged is the number of agents that are pinged without a packet as well: a balancer without flows hears of new
+	// configurations by their answers, also when two of them are out of reach.
+	alwaysPinged = 3
+	// rarestPing bounds the time between two pings of an agent that has been dead for long.
+	rarestPing = 5 * time.Second
 	// pongTimeout is far above the round trip within a region, which is 1 to 3 ms, and below the 200 ms after which
 	// callers repeat an opening packet.
 	pongTimeout = 150 * time.Millisecond
@@ -66,6 +73,14 @@
 	missed    int
 	sequence  uint16
 	firstMiss time.Time
+	usedAt    time.Time
+	// isAlwaysPinged is set in alwaysPinged of the agents that answer.
+	isAlwaysPinged bool
+}
+
+// isPinged reports whether the balancer wants to know whether the agent answers.
+func (t *Target) isPinged(now time.Time) bool {
+	return t.isAlwaysPinged || t.missed > 0 || t.State != Reachable || now.Sub(t.usedAt) < usedFor
 }
 
 // Change is a new belief about a target, for the log.
@@ -84,13 +99,16 @@
 type Directory struct {
 	targets map[hop.IP]*Target
 	view    *View
-	// zone is the availability zone of the balancer.
+	// seed distinguishes the balancer, and zone is its availability zone.
+	seed uint64
 	zone string
+	// now is the moment of the last event, and answeredAt that of the last answer of any agent.
+	now, answeredAt time.Time
 }
 
-// New returns an empty directory of a balancer in an availability zone.
-func New(zone string) *Directory {
-	return &Directory{zone: zone, targets: make(map[hop.IP]*Target), view: &View{}}
+// New returns an empty directory of the balancer at the address self, in an availability zone.
+func New(self hop.IP, zone string) *Directory {
+	return &Directory{seed: xxhash.Sum64(self[:]), zone: zone, targets: make(map[hop.IP]*Target), view: &View{}}
 }
 
 // View returns the current view. It is immutable.
@@ -115,6 +133,7 @@
 
 // Put takes an entry of the store. Older revisions than the known one change nothing.
 func (d *Directory) Put(now time.Time, agent hop.IP, e registry.Entry, revision store.Version) (Change, bool) {
+	d.now = now
 	known := d.targets[agent]
 	if known != nil && revision <= known.Revision {
 		return Change{}, false
@@ -157,10 +176,17 @@
 	return changes
 }
 
+// Used notes that a packet is sent to an agent.
+func (d *Directory) Used(now time.Time, agent hop.IP) {
+	if t := d.targets[agent]; t != nil {
+		t.usedAt = now
+	}
+}
+
 // Suspect asks an agent at once, since a packet sent to it seems to have been lost.
 func (d *Directory) Suspect(now time.Time, agent hop.IP) {
 	if t := d.targets[agent]; t != nil && !t.isAsked {
-		t.nextPing = now
+		t.nextPing, t.usedAt = now, now
 	}
 }
 
@@ -170,7 +196,11 @@
 	if t == nil {
 		return Change{}, false
 	}
-	t.AnsweredAt = now
+	wasIsolated := d.isIsolated()
+	t.AnsweredAt, d.answeredAt, d.now = now, now, now
+	if wasIsolated {
+		d.compile()
+	}
 	if !t.isAsked && t.State == Reachable || t.sequence-sequence > suspectAfter {
 		return Change{}, false
 	}
@@ -185,13 +215,14 @@
 
 // Tick counts pings that were not answered in time and returns the pings to send.
 func (d *Directory) Tick(now time.Time) (pings []Ping, changes []Change) {
+	d.now = now
 	for _, t := range d.targets {
 		if t.isAsked && now.Sub(t.askedAt) >= pongTimeout {
 			if change, ok := d.miss(now, t); ok {
 				changes = append(changes, change)
 			}
 		}
-		if t.isAsked || now.Before(t.nextPing) {
+		if t.isAsked || now.Before(t.nextPing) || !t.isPinged(now) {
 			continue
 		}
 		t.sequence++
@@ -211,7 +242,7 @@
 	switch {
 	case now.Sub(t.firstMiss) >= deadAfter && t.missed >= deadMisses:
 		state = Dead
-		t.nextPing = now.Add(pingInterval)
+		t.nextPing = now.Add(min(max(now.Sub(t.firstMiss)/4, pingInterval), rarestPing))
 	case t.missed >= suspectAfter:
 		state = Suspect
 	}
--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -19,6 +19,9 @@
 	service = desired.KeyOf("pedidos")
 )
 
+// self is the address of the balancer.
+var self = hop.IP{10, 9, 0, 1}
+
 func agent(n byte) hop.IP { return hop.IP{10, 1, 0, n} }
 
 func ready(zone string) registry.Entry {
@@ -26,7 +29,7 @@
 }
 
 func filled(count byte) *directory.Directory {
-	d := directory.New("quito")
+	d := directory.New(self, "quito")
 	for n := byte(1); n <= count; n++ {
 		d.Put(start, agent(n), ready("quito"), store.Version(n))
 	}
@@ -97,7 +100,7 @@
 
 func TestSharesFollowSlotsAndTheZone(t *testing.T) {
 	g := NewWithT(t)
-	d := directory.New("quito")
+	d := directory.New(self, "quito")
 	d.Put(start, agent(1), ready("quito"), 1)
 	d.Put(start, agent(2), ready("cuenca"), 2)
 	large := ready("cuenca")
@@ -301,6 +304,7 @@
 	now := start
 	for known, _ := d.Known(silent); known.State == directory.Reachable; known, _ = d.Known(silent) {
 		now = now.Add(75 * time.Millisecond)
+		d.Used(now, silent)
 		pings, _ := d.Tick(now)
 		for _, ping := range pings {
 			if ping.Agent != silent {
@@ -309,3 +313,98 @@
 		}
 	}
 }
+
+func TestOnlyAgentsInUseArePinged(t *testing.T) {
+	g := NewWithT(t)
+	const agents, used, seconds = 200, 5, 10
+	d := filled(agents)
+	pinged := map[hop.IP]int{}
+	for now := start; now.Sub(start) < seconds*time.Second; now = now.Add(75 * time.Millisecond) {
+		for n := byte(1); n <= used; n++ {
+			d.Used(now, agent(n))
+		}
+		pings, _ := d.Tick(now)
+		for _, p := range pings {
+			pinged[p.Agent]++
+			d.Pong(now, p.Agent, p.Sequence)
+		}
+	}
+	total := 0
+	for _, count := range pinged {
+		total += count
+	}
+	g.Expect(total).To(BeNumerically("<=", (used+3)*(seconds+1)), "what is sent does not grow with the number of agents")
+	for n := byte(1); n <= used; n++ {
+		g.Expect(pinged[agent(n)]).To(BeNumerically(">=", seconds-1))
+	}
+	g.Expect(len(pinged)).To(BeNumerically(">=", 3), "some answer to a balancer without flows")
+}
+
+func TestAnAgentIsAskedAsSoonAsItIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(200)
+	now := run(d, start, 3*time.Second, everyone)
+	asked := func() (list []hop.IP) {
+		pings, _ := d.Tick(now)
+		for _, p := range pings {
+			list = append(list, p.Agent)
+		}
+		return list
+	}
+	unused := agent(1)
+	for _, taken := range asked() {
+		if taken == unused {
+			unused = agent(2)
+		}
+	}
+	d.Used(now, unused)
+	g.Expect(asked()).To(ContainElement(unused))
+}
+
+// The pattern is a balancer that is cut off: it has packets for some agents only, and those that it never asked must not
+// make it believe that the others are dead.
+func TestAnIsolatedBalancerBelievesNoAgentDeadThatItUses(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(50)
+	now := run(d, start, 3*time.Second, everyone)
+	for from := now; now.Sub(from) < 10*time.Second; now = now.Add(75 * time.Millisecond) {
+		for n := byte(1); n <= 10; n++ {
+			d.Used(now, agent(n))
+		}
+		d.Tick(now)
+		for n := byte(1); n <= 10; n++ {
+			g.Expect(d.View().IsUsable(agent(n))).To(BeTrue())
+		}
+	}
+	pings, _ := d.Tick(now.Add(rarest))
+	g.Expect(pings).NotTo(BeEmpty())
+	d.Pong(now.Add(rarest), agent(20), 0)
+	g.Expect(d.View().IsUsable(agent(1))).To(BeFalse(), "it is not cut off: agent 20 answers")
+}
+
+// rarest is the longest time between two pings of a dead agent.
+const rarest = 5 * time.Second
+
+func TestDeadAgentsArePingedLessAndLess(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(4)
+	now := run(d, start, 10*time.Second, func(a hop.IP) bool { return a != agent(1) })
+	for range 60 {
+		d.Used(now, agent(1))
+		now = now.Add(time.Second)
+		run(d, now, 75*time.Millisecond, func(a hop.IP) bool { return a != agent(1) })
+	}
+	count := 0
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(75 * time.Millisecond) {
+		pings, _ := d.Tick(now)
+		for _, p := range pings {
+			if p.Agent == agent(1) {
+				count++
+				continue
+			}
+			d.Pong(now, p.Agent, p.Sequence)
+		}
+	}
+	g.Expect(count).To(BeNumerically("<=", 13))
+	g.Expect(count).To(BeNumerically(">=", 10), "it is found within seconds when it comes back")
+}
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -37,6 +37,7 @@
 func (v *View) Len() int { return len(v.agents) }
 
 func (d *Directory) compile() {
+	d.choosePinged()
 	pools := make(map[desired.ServiceKey][]Candidate)
 	isIsolated := d.isIsolated()
 	agents := make(map[hop.IP]Reachability, len(d.targets))
@@ -54,14 +55,23 @@
 	d.view = &View{pools: pools, agents: agents}
 }
 
-// isIsolated reports whether no agent answers. Then this balancer is rather cut off itself, and no flow counts as lost.
-func (d *Directory) isIsolated() bool {
+// isIsolated reports whether no agent has answered for so long that one would be dead. Then this balancer is rather cut off
+// itself, and no flow counts as lost.
+func (d *Directory) isIsolated() bool { return d.now.Sub(d.answeredAt) >= deadAfter }
+
+// choosePinged chooses the agents that are pinged without a packet: other ones for each balancer.
+func (d *Directory) choosePinged() {
+	var buffer [alwaysPinged]scored
+	order := buffer[:0]
 	for _, t := range d.targets {
+		t.isAlwaysPinged = false
 		if t.State == Reachable {
-			return false
+			order = insert(order, alwaysPinged, scored{agent: t.Agent, score: rendezvous.Score(d.seed, t.seed, 1)})
 		}
 	}
-	return true
+	for _, c := range order {
+		d.targets[c.agent].isAlwaysPinged = true
+	}
 }
 
 // scored is a candidate and its place in the order for one flow.
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -190,7 +190,7 @@
 	}
 	f.mu.Lock()
 	change, hasChanged := f.directory.Put(time.Now(), agent, entry, item.Version)
-	f.refresh(hasChanged)
+	f.refresh()
 	f.mu.Unlock()
 	if hasChanged {
 		f.logTarget(change)
@@ -210,7 +210,7 @@
 	}
 	f.mu.Lock()
 	change, hasChanged := f.directory.Remove(agent, item.Version)
-	f.refresh(hasChanged)
+	f.refresh()
 	f.mu.Unlock()
 	if hasChanged {
 		f.logTarget(change)
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -96,7 +96,7 @@
 	self := hop.IP(settings.Data.Addr().As4())
 	return &Forwarder{
 		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
-		steer: steer.New(self), directory: directory.New(settings.Zone),
+		steer: steer.New(self), directory: directory.New(self, settings.Zone),
 		informed: make(chan struct{}), held: ring.New[heldPacket](maxHeld),
 		ahead: ring.New[hop.IP](1),
 	}
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -36,13 +36,27 @@
 	now := time.Now()
 	f.mu.Lock()
 	d := f.steer.Decide(now, &p)
-	if p.Opens && p.Copies > 0 && d.Verdict == steer.Forward {
-		f.directory.Suspect(now, d.Agent)
-	}
+	f.used(now, &p, &d)
 	f.mu.Unlock()
 	f.carryOut(&p, d, datagram)
 }
 
+// used notes which agent gets a packet. When a caller repeats an opening, one of those that had it may be gone. The caller
+// holds mu.
+func (f *Forwarder) used(now time.Time, p *flow.Packet, d *steer.Decision) {
+	if d.Verdict != steer.Forward {
+		return
+	}
+	f.directory.Used(now, d.Agent)
+	if !p.Opens || p.Copies == 0 {
+		return
+	}
+	f.directory.Suspect(now, d.Agent)
+	for _, agent := range d.Header.Candidates[:d.Header.Count] {
+		f.directory.Suspect(now, agent)
+	}
+}
+
 func (f *Forwarder) carryOut(p *flow.Packet, d steer.Decision, datagram []byte) {
 	f.counters.verdict(d.Verdict).Inc(1)
 	switch d.Verdict {
@@ -101,9 +115,9 @@
 	now := time.Now()
 	switch h.Kind {
 	case hop.Returned:
-		f.returned(h, body, func(p *flow.Packet) steer.Decision { return f.steer.Returned(now, p, h) })
+		f.returned(now, h, body, func(p *flow.Packet) steer.Decision { return f.steer.Returned(now, p, h) })
 	case hop.Refused:
-		f.returned(h, body, func(p *flow.Packet) steer.Decision { return f.steer.Refused(p, h) })
+		f.returned(now, h, body, func(p *flow.Packet) steer.Decision { return f.steer.Refused(p, h) })
 	case hop.Located:
 		f.located(now, body, agent, desired.ServiceKey(h.Service))
 	case hop.Pong:
@@ -121,7 +135,7 @@
 	}
 	f.mu.Lock()
 	change, hasChanged := f.directory.Pong(now, agent, h.Sequence)
-	f.refresh(hasChanged)
+	f.refresh()
 	f.mu.Unlock()
 	if hasChanged {
 		f.logTarget(change)
@@ -130,7 +144,9 @@
 }
 
 // returned decides anew on a packet that an agent gave back.
-func (f *Forwarder) returned(h *hop.Header, datagram []byte, decide func(*flow.Packet) steer.Decision) {
+func (f *Forwarder) returned(
+	now time.Time, h *hop.Header, datagram []byte, decide func(*flow.Packet) steer.Decision,
+) {
 	p, err := f.parts.Codec.Decode(datagram)
 	if err != nil {
 		f.counters.malformed.Inc(1)
@@ -139,6 +155,7 @@
 	f.mu.Lock()
 	f.counters.walk.RecordValue(float64(h.Walked))
 	d := decide(&p)
+	f.used(now, &p, &d)
 	f.mu.Unlock()
 	f.carryOut(&p, d, datagram)
 }
@@ -168,7 +185,7 @@
 func (f *Forwarder) check(now time.Time) {
 	f.mu.Lock()
 	pings, changes := f.directory.Tick(now)
-	f.refresh(len(changes) > 0)
+	f.refresh()
 	f.mu.Unlock()
 	for _, change := range changes {
 		f.logTarget(change)
@@ -182,8 +199,4 @@
 }
 
 // refresh hands the view to the decisions. The caller holds mu.
-func (f *Forwarder) refresh(hasChanged bool) {
-	if hasChanged {
-		f.steer.SetView(f.directory.View())
-	}
-}
+func (f *Forwarder) refresh() { f.steer.SetView(f.directory.View()) }
--- a/internal/opaque/proof/world_test.go
+++ b/internal/opaque/proof/world_test.go
@@ -121,7 +121,7 @@
 }
 
 func (w *world) newBalancer() *balancer {
-	b := &balancer{steer: steer.New(hop.IP{10, 9, 0, 1}), directory: directory.New("quito")}
+	b := &balancer{steer: steer.New(hop.IP{10, 9, 0, 1}), directory: directory.New(hop.IP{10, 9, 0, 1}, "quito")}
 	table := desired.NewTable(1)
 	table.Add(routeAddress, &desired.Route{Name: "r", Shares: []desired.Share{
 		{Service: desired.KeyOf(lines), Name: lines, Weight: 1},
--- a/internal/opaque/steer/steer_test.go
+++ b/internal/opaque/steer/steer_test.go
@@ -41,7 +41,7 @@
 
 // serving returns a balancer with one route to "pedidos" and the given targets of it.
 func serving(agents ...byte) (*steer.Steer, *directory.Directory) {
-	s, d := steer.New(self), directory.New("quito")
+	s, d := steer.New(self), directory.New(self, "quito")
 	s.Apply(start, table(1, map[flow.Endpoint]*desired.Route{address: route(1, "pedidos")}))
 	add(s, d, "pedidos", agents...)
 	return s, d
