A soak: real programs under random faults, by seed

`make soak` draws faults from a seed, in series and overlapping: processes killed, stopped, frozen, all killed at once; targets that crash or are replaced; a store that refuses, resets, hangs, loses answers, compacts or is slow; connections to it cut one way, silenced or reset by a proxy; datagrams lost, doubled and delayed by relays; routes that change. Callers and targets check what was promised: answers of one target to a flow, no request twice, no reset of a flow that lives, no opening on a target that drains, versions that only rise, no process that ends by itself, service after it. Not in it: clocks that jump (they need rights), datagrams between balancers and agents.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,13 @@
 BENCH_DIR := bin/bench
 BENCH_PACKAGES := ./internal/route ./internal/balancer ./internal/revision ./internal/frame ./internal/control ./internal/member
 
-.PHONY: build test race lint format docs fuzz bench experiment
+.PHONY: build test race lint format docs fuzz bench experiment soak
+
+# Seeds of `make soak`, the time for which each brings faults, and further flags, such as -soak-targets 60.
+SOAK_SEEDS ?= $(shell shuf -i 1000-999999999 -n 10)
+SOAK_TIME ?= 20s
+SOAK_FLAGS ?=
+SOAK_DIR := bin/soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -61,6 +67,18 @@
 	  go test ./$${target%%:*} -run '^$$' -fuzz "^$${target##*:}\$$" -fuzztime $(FUZZTIME) -parallel 2 || exit 1; \
 	done
 
+# Runs real programs under random faults, seed by seed. A seed that fails is named, and its output and logs stay.
+soak:
+	@mkdir -p $(SOAK_DIR)
+	go test -c -o $(SOAK_DIR)/soak.test ./integration
+	@failed=; for seed in $(SOAK_SEEDS); do \
+	  echo "seed $$seed"; \
+	  if (cd integration && ../$(SOAK_DIR)/soak.test -test.timeout 15m -soak-seed $$seed -soak-time $(SOAK_TIME) $(SOAK_FLAGS) \
+	    -opaque-logs $(CURDIR)/$(SOAK_DIR)/$$seed --ginkgo.v --ginkgo.focus 'A soak') > $(SOAK_DIR)/$$seed.txt 2>&1; \
+	  then grep -h 'requests answered' $(SOAK_DIR)/$$seed.txt; rm -rf $(SOAK_DIR)/$$seed; \
+	  else failed="$$failed $$seed"; grep -hA20 'FAILED' $(SOAK_DIR)/$$seed.txt | head -40; fi; \
+	done; if [ -n "$$failed" ]; then echo "failed:$$failed"; exit 1; fi
+
 format:
 	gofmt -w cmd internal integration platform
 
--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -39,13 +41,17 @@
 	balancers []*opaqueProcess
 	agents    []*opaqueProcess
 	targets   []*standin.Target
+	// storeAddress returns where the next process finds the store.
+	storeAddress func() string
 }
 
 // opaqueProcess is a balancer or an agent.
 type opaqueProcess struct {
-	ip      netip.Addr
-	args    []string
-	log     string
+	ip   netip.Addr
+	args []string
+	log  string
+	// former are the logs of its earlier runs.
+	former  []string
 	command *exec.Cmd
 	ended   chan struct{}
 }
@@ -58,8 +64,7 @@
 
 // newOpaqueDeployment starts a deployment whose route leads to the service "lines".
 func newOpaqueDeployment(balancers, targets int) *opaqueDeployment {
-	d := &opaqueDeployment{store: standin.NewStore(), firstPort: freePorts()}
-	DeferCleanup(d.stop)
+	d := emptyOpaqueDeployment()
 	d.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
 	for range balancers {
 		d.addBalancer()
@@ -71,6 +76,14 @@
 	return d
 }
 
+// emptyOpaqueDeployment starts a store without anything around it.
+func emptyOpaqueDeployment() *opaqueDeployment {
+	d := &opaqueDeployment{store: standin.NewStore(), firstPort: freePorts()}
+	d.storeAddress = d.store.Address
+	DeferCleanup(d.stop)
+	return d
+}
+
 // freePorts returns the first of a block of ports that were free a moment ago.
 func freePorts() uint16 {
 	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -111,7 +124,7 @@
 func (d *opaqueDeployment) addBalancer() *opaqueProcess {
 	ip := d.newIP()
 	p := &opaqueProcess{ip: ip, args: []string{
-		filepath.Join(bin, "gentian-balancer"), "opaque", "--zone", "quito", "--store", d.store.Address(),
+		filepath.Join(bin, "gentian-balancer"), "opaque", "--zone", "quito", "--store", d.storeAddress(),
 		"--data", d.at(ip, opaquePortData).String(), "--peer", d.at(ip, opaquePortPeer).String(),
 		"--ready", d.at(ip, opaquePortReady).String(), "--linger", "300ms",
 	}}
@@ -133,7 +146,7 @@
 
 func (d *opaqueDeployment) startAgent(ip netip.Addr, service string) *opaqueProcess {
 	p := &opaqueProcess{ip: ip, args: []string{
-		filepath.Join(bin, "gentian-agent"), "opaque", "--zone", "quito", "--store", d.store.Address(),
+		filepath.Join(bin, "gentian-agent"), "opaque", "--zone", "quito", "--store", d.storeAddress(),
 		"--service", service, "--data", d.at(ip, opaquePortData).String(), "--outbound", d.at(ip, opaquePortOutbound).String(),
 		"--announce", d.at(ip, opaquePortAnnounce).String(), "--target", d.at(ip, opaquePortApp).String(),
 		"--peer", d.at(ip, opaquePortPeer).String(),
@@ -201,10 +214,24 @@
 	d.store.Close()
 }
 
+// opaqueLogs keeps the logs of a run; without it they go with the spec.
+var opaqueLogs = flag.String("opaque-logs", "", "directory that keeps the logs of opaque processes")
+
+func logDirectory() string {
+	if *opaqueLogs == "" {
+		return GinkgoT().TempDir()
+	}
+	Expect(os.MkdirAll(*opaqueLogs, 0o750)).To(Succeed())
+	return *opaqueLogs
+}
+
 func (p *opaqueProcess) start() {
-	file, err := os.CreateTemp("", "gentian-opaque-*.log")
+	file, err := os.CreateTemp(logDirectory(), p.ip.String()+"-*.log")
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = file.Close() }()
+	if p.log != "" {
+		p.former = append(p.former, p.log)
+	}
 	p.log = file.Name()
 	p.command = exec.CommandContext(context.Background(), p.args[0], p.args[1:]...)
 	p.command.Stdout, p.command.Stderr = file, file
@@ -238,3 +265,17 @@
 	Expect(err).NotTo(HaveOccurred())
 	return string(raw)
 }
+
+// runs returns what the process has written, run by run.
+func (p *opaqueProcess) runs() []string {
+	var all []string
+	for _, name := range append(append([]string{}, p.former...), p.log) {
+		raw, err := os.ReadFile(name)
+		Expect(err).NotTo(HaveOccurred())
+		all = append(all, string(raw))
+	}
+	return all
+}
+
+// allText returns what the process has written in all of its runs.
+func (p *opaqueProcess) allText() string { return strings.Join(p.runs(), "") }
--- /dev/null
+++ b/integration/soak_schedule_test.go
@@ -0,0 +1,119 @@
+package integration
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// faultKind is a kind of disturbance of a soak.
+type faultKind uint8
+
+const (
+	killBalancer faultKind = iota
+	stopBalancer
+	freezeBalancer
+	killAgent
+	freezeAgent
+	killAll
+	crashTarget
+	replaceTarget
+	storeBusy
+	storeReset
+	storeSilent
+	storeLost
+	storeCompacted
+	storeSlow
+	cutOneWay
+	cutSilent
+	cutRefused
+	lossyNetwork
+	changeRoutes
+	faultKinds
+)
+
+// String returns the name that the output of a soak uses.
+func (k faultKind) String() string {
+	return [...]string{
+		"kill balancer", "stop balancer", "freeze balancer", "kill agent", "freeze agent", "kill all", "crash target",
+		"replace target", "store busy", "store resets", "store silent", "store loses answers", "store compacted",
+		"store slow", "answers of the store cut", "store silenced", "store refused", "lossy network", "change routes",
+	}[k]
+}
+
+// fault is a disturbance from a moment on, for a time, of one of the processes of its kind.
+type fault struct {
+	kind     faultKind
+	at, last time.Duration
+	victim   int
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%5.2fs %s %d for %s", f.at.Seconds(), f.kind, f.victim, f.last)
+}
+
+const (
+	// meanGap is the mean time between the starts of two faults, so that about two are under way at a time.
+	meanGap = 400 * time.Millisecond
+	// shortestFault and longestFault bound a fault. An agent that stands still for less than 2 s keeps its flows.
+	shortestFault = 100 * time.Millisecond
+	longestFault  = 1200 * time.Millisecond
+	// victimRest is the least time between two faults of the same process, in which it comes back.
+	victimRest = time.Second
+)
+
+// schedule draws the faults of a soak. The same seed gives the same faults.
+func schedule(seed uint64, length time.Duration, balancers, targets int) []fault {
+	random := rand.New(rand.NewPCG(seed, 0))
+	free := map[string]time.Duration{}
+	var faults []fault
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(meanGap))
+		if at >= length {
+			break
+		}
+		f := fault{
+			kind: faultKind(random.IntN(int(faultKinds))), at: at,
+			last: shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault))),
+		}
+		victims := victimsOf(&f, random, balancers, targets)
+		if slices.ContainsFunc(victims, func(v string) bool { return at < free[v] }) {
+			continue
+		}
+		for _, v := range victims {
+			free[v] = at + f.last + victimRest
+		}
+		faults = append(faults, f)
+	}
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
+// victimsOf draws the victim of a fault, and returns what nothing else may disturb at the same time.
+func victimsOf(f *fault, random *rand.Rand, balancers, targets int) []string {
+	switch f.kind {
+	case killBalancer, stopBalancer, freezeBalancer, cutOneWay, cutSilent, cutRefused:
+		f.victim = random.IntN(balancers)
+		return []string{fmt.Sprint("balancer ", f.victim)}
+	case killAgent, freezeAgent, crashTarget, replaceTarget:
+		f.victim = random.IntN(targets)
+		return []string{fmt.Sprint("agent ", f.victim)}
+	case killAll:
+		var all []string
+		for i := range balancers {
+			all = append(all, fmt.Sprint("balancer ", i))
+		}
+		for i := range targets {
+			all = append(all, fmt.Sprint("agent ", i))
+		}
+		return all
+	case lossyNetwork:
+		return []string{"network"}
+	case changeRoutes:
+		return []string{"routes"}
+	default:
+		return []string{"store"}
+	}
+}
--- /dev/null
+++ b/integration/soak_test.go
@@ -0,0 +1,448 @@
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/platform/standin"
+)
+
+// Settings of a soak. The defaults are those of CI: short, with one seed.
+var (
+	soakSeed      = flag.Uint64("soak-seed", 1, "seed of the faults of a soak")
+	soakTime      = flag.Duration("soak-time", 12*time.Second, "time for which faults come")
+	soakBalancers = flag.Int("soak-balancers", 3, "balancers of a soak")
+	soakTargets   = flag.Int("soak-targets", 6, "targets of a soak, each beside its agent")
+	soakCallers   = flag.Int("soak-callers", 12, "callers of a soak, each with one flow at a time")
+)
+
+// soakSpare is the address of the route that changes of the configuration add and remove.
+var soakSpare = netip.MustParseAddrPort("198.18.0.1:9443")
+
+// soak is a deployment under random faults, and what its callers and targets have seen.
+type soak struct {
+	*opaqueDeployment
+	relays  []*standin.Relay
+	proxies []*standin.Proxy
+	// beside holds the target that runs beside each agent.
+	beside []*standin.Target
+
+	mu       sync.Mutex
+	rotation []int
+	// asked and answered count requests.
+	asked, answered int
+	findings        []string
+	requests        []string
+	// meant are the processes that the soak has ended or frozen and that are not back.
+	meant map[*opaqueProcess]bool
+}
+
+func newSoak() *soak {
+	s := &soak{opaqueDeployment: emptyOpaqueDeployment(), meant: map[*opaqueProcess]bool{}}
+	s.storeAddress = s.newProxy
+	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
+	for i := range *soakBalancers {
+		b := s.addBalancer()
+		relay, err := standin.NewRelay(s.at(b.ip, opaquePortData), *soakSeed+uint64(i))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(relay.Close)
+		s.relays = append(s.relays, relay)
+	}
+	for range *soakTargets {
+		s.addTarget("lines")
+	}
+	s.beside = append(s.beside, s.targets...)
+	s.awaitReady()
+	s.poll()
+	return s
+}
+
+// newProxy puts a proxy between the store and the next process, and returns its address.
+func (s *soak) newProxy() string {
+	proxy, err := standin.NewProxy(s.store.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(proxy.Close)
+	s.proxies = append(s.proxies, proxy)
+	return proxy.Address()
+}
+
+// found notes a broken promise.
+func (s *soak) found(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.findings = append(s.findings, fmt.Sprintf(format, args...))
+}
+
+// poll asks the balancers whether they are ready, as routers do. Without an answer from any, all are in rotation.
+func (s *soak) poll() {
+	client := http.Client{Timeout: 200 * time.Millisecond}
+	var ready []int
+	for i, b := range s.balancers {
+		answer, err := client.Get("http://" + s.at(b.ip, opaquePortReady).String() + "/v1/readyz")
+		if err != nil {
+			continue
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			ready = append(ready, i)
+		}
+	}
+	if len(ready) == 0 {
+		for i := range s.balancers {
+			ready = append(ready, i)
+		}
+	}
+	s.mu.Lock()
+	s.rotation = ready
+	s.mu.Unlock()
+}
+
+// route returns a router that spreads flows over the rotation by their number, so that most move when it changes.
+func (s *soak) route(flow *int) func() netip.AddrPort {
+	return func() netip.AddrPort {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.relays[s.rotation[*flow%len(s.rotation)]].Address()
+	}
+}
+
+// call keeps one caller calling until done is closed. Requests are not repeated on another flow.
+func (s *soak) call(index int, done <-chan struct{}) {
+	random := rand.New(rand.NewPCG(*soakSeed, uint64(index)+1))
+	ip := netip.AddrFrom4([4]byte{127, 20, byte(GinkgoParallelProcess()), byte(index + 1)})
+	number := index
+	c, err := standin.NewCaller(ip, s.firstPort+opaquePortData, opaqueAddress, s.route(&number))
+	if err != nil {
+		s.found("caller %d: %v", index, err)
+		return
+	}
+	defer c.Close()
+	for flow := 0; ; flow++ {
+		number += 7
+		if c.Open() == nil {
+			s.converse(c, random, fmt.Sprintf("c%d-f%d", index, flow))
+		}
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(random.IntN(100)) * time.Millisecond):
+		}
+	}
+}
+
+// converse sends requests on an open flow until one of them is lost.
+func (s *soak) converse(c *standin.Caller, random *rand.Rand, name string) {
+	var served string
+	for n := range 1 + random.IntN(8) {
+		request := fmt.Sprintf("%s-r%d", name, n)
+		s.mu.Lock()
+		s.asked++
+		s.requests = append(s.requests, request)
+		s.mu.Unlock()
+		target, err := c.Ask(request)
+		switch {
+		case err == standin.ErrReset && served != "":
+			s.checkEnded(c, served)
+			return
+		case err != nil:
+			return
+		case served != "" && target != served:
+			s.found("flow %s was answered by %s and then by %s", c.Flow(), served, target)
+		case !strings.HasPrefix(target, "i-lines-"):
+			s.found("request %s was answered by %s", request, target)
+		}
+		served = target
+		s.mu.Lock()
+		s.answered++
+		s.mu.Unlock()
+		time.Sleep(time.Duration(random.IntN(150)) * time.Millisecond)
+	}
+	// A last packet that is lost leaves a flow behind, as with any caller that goes.
+	_ = c.Finish()
+}
+
+// checkEnded checks that a flow that was reset lives no more. Where a balancer could not reach the agent for so long that
+// it took it for dead, the reset was right as far as could be known.
+func (s *soak) checkEnded(c *standin.Caller, served string) {
+	s.mu.Lock()
+	targets := append([]*standin.Target(nil), s.targets...)
+	s.mu.Unlock()
+	for _, t := range targets {
+		if t.Name == served && t.Holds(c.Self()) && !s.wasDead(t) {
+			s.found("flow %s was reset, and %s holds it", c.Flow(), served)
+		}
+	}
+}
+
+// wasDead reports whether a balancer has taken the agent beside a target for dead.
+func (s *soak) wasDead(t *standin.Target) bool {
+	pattern := regexp.MustCompile(`"agent":"` + t.IP().String() + `".*"state":"dead"`)
+	for _, b := range s.balancers {
+		if pattern.MatchString(b.allText()) {
+			return true
+		}
+	}
+	return false
+}
+
+// disturb carries out the faults of a schedule.
+func (s *soak) disturb(faults []fault) {
+	begin := time.Now()
+	var running sync.WaitGroup
+	for _, f := range faults {
+		time.Sleep(f.at - time.Since(begin))
+		GinkgoWriter.Println(f)
+		running.Go(func() {
+			defer GinkgoRecover()
+			s.carryOut(f)
+		})
+	}
+	running.Wait()
+}
+
+func (s *soak) carryOut(f fault) {
+	switch {
+	case f.kind < crashTarget:
+		s.disturbProcesses(f)
+	case f.kind < storeBusy:
+		s.disturbTarget(f)
+	case f.kind < cutOneWay:
+		s.disturbStore(f)
+	default:
+		s.disturbNetwork(f)
+	}
+}
+
+func (s *soak) disturbProcesses(f fault) {
+	switch f.kind {
+	case killBalancer:
+		s.restartAfter(f.last, syscall.SIGKILL, s.balancers[f.victim])
+	case stopBalancer:
+		s.restartAfter(f.last, syscall.SIGTERM, s.balancers[f.victim])
+	case freezeBalancer:
+		s.freeze(f.last, s.balancers[f.victim])
+	case killAgent:
+		s.restartAfter(f.last, syscall.SIGKILL, s.agents[f.victim])
+	case freezeAgent:
+		s.freeze(f.last, s.agents[f.victim])
+	case killAll:
+		s.restartAfter(f.last, syscall.SIGKILL, append(append([]*opaqueProcess{}, s.balancers...), s.agents...)...)
+	}
+}
+
+func (s *soak) disturbTarget(f fault) {
+	if f.kind == replaceTarget {
+		s.replace(f.victim, f.last)
+		return
+	}
+	s.beside[f.victim].Crash()
+	time.Sleep(f.last)
+	s.startBeside(f.victim)
+}
+
+func (s *soak) disturbStore(f fault) {
+	switch f.kind {
+	case storeCompacted:
+		s.store.Compact()
+	case storeSlow:
+		s.cut(f.last, standin.Slow, s.proxies...)
+	default:
+		s.store.Disturb("", map[faultKind]standin.Fault{
+			storeBusy: standin.Busy, storeReset: standin.Reset, storeSilent: standin.Silent, storeLost: standin.Lost,
+		}[f.kind])
+		time.Sleep(f.last)
+		s.store.Disturb("", standin.None)
+	}
+}
+
+func (s *soak) disturbNetwork(f fault) {
+	switch f.kind {
+	case changeRoutes:
+		s.configure(map[netip.AddrPort]string{opaqueAddress: "lines", soakSpare: "lines"})
+		time.Sleep(f.last)
+		s.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
+	case lossyNetwork:
+		s.setWeather(standin.Weather{Lost: 0.1, Doubled: 0.1, Delay: 30 * time.Millisecond})
+		time.Sleep(f.last)
+		s.setWeather(standin.Weather{})
+	default:
+		cuts := map[faultKind]standin.Cut{cutOneWay: standin.OneWay, cutSilent: standin.Silenced, cutRefused: standin.Refused}
+		s.cut(f.last, cuts[f.kind], s.proxies[f.victim])
+	}
+}
+
+func (s *soak) setWeather(w standin.Weather) {
+	for _, r := range s.relays {
+		r.Set(w)
+	}
+}
+
+func (s *soak) cut(last time.Duration, cut standin.Cut, proxies ...*standin.Proxy) {
+	for _, p := range proxies {
+		p.Set(cut)
+	}
+	time.Sleep(last)
+	for _, p := range proxies {
+		p.Set(standin.Whole)
+	}
+}
+
+// restartAfter ends processes by a signal and starts them again after a time.
+func (s *soak) restartAfter(last time.Duration, signal syscall.Signal, processes ...*opaqueProcess) {
+	s.mean(true, processes)
+	for _, p := range processes {
+		p.signal(signal)
+	}
+	time.Sleep(last)
+	for _, p := range processes {
+		<-p.ended
+		p.start()
+	}
+	s.mean(false, processes)
+}
+
+func (s *soak) mean(isMeant bool, processes []*opaqueProcess) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range processes {
+		s.meant[p] = isMeant
+	}
+}
+
+func (s *soak) freeze(last time.Duration, p *opaqueProcess) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(last)
+	p.signal(syscall.SIGCONT)
+}
+
+// replace lets a target drain and leave, and starts another one at its address. From the acknowledgement on no flow may
+// open on it.
+func (s *soak) replace(victim int, last time.Duration) {
+	t := s.beside[victim]
+	if t.Drain() != nil {
+		// Without an acknowledgement nothing was promised.
+		return
+	}
+	// What the agent has given to the target before is on its way.
+	time.Sleep(shortestFault / 2)
+	before := t.Flows()
+	opened := t.Accepted()
+	time.Sleep(last)
+	if after := t.Accepted(); after != opened {
+		s.found("%d flows opened on %s, which drains, beside %d that it had", after-opened, t.Name, before)
+	}
+	if err := t.Leave(); err != nil {
+		GinkgoWriter.Println(t.Name, "left without a word:", err)
+	}
+	s.startBeside(victim)
+}
+
+// startBeside starts another target beside an agent.
+func (s *soak) startBeside(victim int) {
+	// A later start tells the incarnations apart.
+	time.Sleep(5 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beside[victim] = s.startTarget(s.agents[victim].ip, "lines")
+}
+
+// checkRuns checks that no request has run more than once.
+func (s *soak) checkRuns() {
+	for _, request := range s.requests {
+		runs := 0
+		for _, t := range s.targets {
+			runs += t.Runs(request)
+		}
+		if runs > 1 {
+			s.found("request %s has run %d times", request, runs)
+		}
+	}
+}
+
+var appliedVersion = regexp.MustCompile(`"configuration":(\d+),"event":410`)
+
+// checkProcesses checks that processes run unless they were ended, did not panic, and put no older version in force.
+func (s *soak) checkProcesses() {
+	for _, p := range append(append([]*opaqueProcess{}, s.balancers...), s.agents...) {
+		select {
+		case <-p.ended:
+			if !s.meant[p] {
+				s.found("the process at %s has ended by itself", p.ip)
+			}
+		default:
+		}
+		for _, run := range p.runs() {
+			if _, trace, isPanic := strings.Cut(run, "panic: "); isPanic {
+				s.found("the process at %s panicked: %s", p.ip, trace)
+			}
+			version := 0
+			for _, match := range appliedVersion.FindAllStringSubmatch(run, -1) {
+				next, err := strconv.Atoi(match[1])
+				if err != nil || next <= version {
+					s.found("the process at %s went from version %d to %s", p.ip, version, match[1])
+				}
+				version = next
+			}
+		}
+	}
+}
+
+// expectRecovered expects that flows open through each balancer, and that each has the last version in force.
+func (s *soak) expectRecovered() {
+	GinkgoHelper()
+	for i, b := range s.balancers {
+		c := s.newCallerOf(opaqueAddress, through(b))
+		Eventually(func() error {
+			if err := c.Open(); err != nil {
+				return err
+			}
+			_, err := c.Ask(fmt.Sprint("recovered ", i))
+			return err
+		}).WithTimeout(patience).Should(Succeed())
+		Eventually(func() string { return b.logText() }).WithTimeout(patience).
+			Should(ContainSubstring(fmt.Sprintf(`"configuration":%d,"event":410`, s.version)))
+	}
+}
+
+var _ = Describe("A soak", func() {
+	It("keeps the promises of opaque flows under random faults", func() {
+		GinkgoWriter.Printf("seed %d for %s\n", *soakSeed, *soakTime)
+		s := newSoak()
+		done := make(chan struct{})
+		var callers sync.WaitGroup
+		for i := range *soakCallers {
+			callers.Go(func() { s.call(i, done) })
+		}
+		callers.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(300 * time.Millisecond):
+					s.poll()
+				}
+			}
+		})
+		s.disturb(schedule(*soakSeed, *soakTime, *soakBalancers, *soakTargets))
+		close(done)
+		callers.Wait()
+		s.expectRecovered()
+		s.checkRuns()
+		s.checkProcesses()
+		GinkgoWriter.Printf("%d of %d requests answered\n", s.answered, s.asked)
+		Expect(s.findings).To(BeEmpty())
+		Expect(s.answered).To(BeNumerically(">", s.asked/2), "most requests are answered between the faults")
+	})
+})
