--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -20,9 +20,10 @@
 	// followWait is the time after which a call that waits for changes is renewed. A store that compacts its history can
 	// leave a waiting call without an event, and operators expect a change in force within 3 s.
 	followWait = 2500 * time.Millisecond
-	// followSpacing is the least time between two such calls, so that changes in quick succession arrive together. It is a
-	// tenth of the time in which operators expect a change in force.
-	followSpacing = 300 * time.Millisecond
+	// followSpacing is the least time between two such calls, so that changes in quick succession arrive together: each
+	// entry that changes would otherwise be a call of every balancer. It is a third of the time in which operators expect a
+	// change in force. What agents know of their targets binds them without it.
+	followSpacing = time.Second
 	// Waits between failed calls: short at first, and at most a second, so that an outage costs few calls. A balancer
 	// that knows no routes yet has callers waiting and tries more often.
 	firstRetry      = 50 * time.Millisecond
