Soak: a compaction that followers of the store notice

Change: a new version is written right before the history is dropped; no other change of routes runs at that time.

--- a/integration/soak_schedule_test.go
+++ b/integration/soak_schedule_test.go
@@ -113,6 +113,8 @@
 		return []string{"network"}
 	case changeRoutes:
 		return []string{"routes"}
+	case storeCompacted:
+		return []string{"store", "routes"}
 	default:
 		return []string{"store"}
 	}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -255,6 +255,8 @@
 func (s *soak) disturbStore(f fault) {
 	switch f.kind {
 	case storeCompacted:
+		// Followers that do not wait at this moment miss the change, and their place in the history is gone.
+		s.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
 		s.store.Compact()
 	case storeSlow:
 		s.cut(f.last, standin.Slow, s.proxies...)
