--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -162,7 +162,10 @@
 
 // New returns the state of an agent at the address self, beside a target that runs a service, that starts now.
 func New(now time.Time, self hop.IP, service string) *Resident {
-	return &Resident{self: self, startedAt: now, serviceName: service, service: desired.KeyOf(service), flows: make(map[flow.ID]*held)}
+	return &Resident{
+		self: self, startedAt: now, serviceName: service, service: desired.KeyOf(service),
+		flows: make(map[flow.ID]*held),
+	}
 }
 
 // FromNode returns the decision for a caller's packet that a balancer or another agent sent.
@@ -237,9 +240,8 @@
 	return d
 }
 
-// load returns the requests that run or wait at the target and the openings in front of it, where fullLoad stands for all of its
-// slots.
-// An unknown target is idle.
+// load returns the requests that run or wait at the target and the openings in front of it; fullLoad stands for all of its
+// slots. An unknown target is idle.
 func (r *Resident) load() uint8 {
 	if !r.target.isKnown {
 		return 0
