A removed target does not come back; every candidate of a packet is asked

Cause, first part: a target left at 31.0 s and was removed. At 34.1 s the balancer caught up by way of another one, whose view was older; it forgot revisions with targets, so it took the old entry for a new target. The VM was gone by then. Cause, second part: traffic had ended at 34 s. Since pings follow flows, the agents behind the first candidate of a flow were asked no more, so the VM was believed reachable, and each packet that was passed on to it vanished. Ruled out: the target (it lived), its agent, the memory of places (the balancer had started since), suspects (none). Change: a balancer keeps the revision at which a target was removed, and takes no older entry. All candidates of a packet count as used, so that one that is gone is suspect before the caller's packet comes for the third time.

--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -98,6 +98,9 @@
 // Directory is the view of all targets.
 type Directory struct {
 	targets map[hop.IP]*Target
+	// removed holds the revisions at which targets were removed: another balancer may still hand their entries over. Like
+	// the store, it keeps one for each address.
+	removed map[hop.IP]store.Version
 	view    *View
 	// seed distinguishes the balancer, and zone is its availability zone.
 	seed uint64
@@ -108,7 +111,10 @@
 
 // New returns an empty directory of the balancer at the address self, in an availability zone.
 func New(self hop.IP, zone string) *Directory {
-	return &Directory{seed: xxhash.Sum64(self[:]), zone: zone, targets: make(map[hop.IP]*Target), view: &View{}}
+	return &Directory{
+		seed: xxhash.Sum64(self[:]), zone: zone, targets: make(map[hop.IP]*Target),
+		removed: make(map[hop.IP]store.Version), view: &View{},
+	}
 }
 
 // View returns the current view. It is immutable.
@@ -135,7 +141,7 @@
 func (d *Directory) Put(now time.Time, agent hop.IP, e registry.Entry, revision store.Version) (Change, bool) {
 	d.now = now
 	known := d.targets[agent]
-	if known != nil && revision <= known.Revision {
+	if known != nil && revision <= known.Revision || revision <= d.removed[agent] {
 		return Change{}, false
 	}
 	if e.HasLeft {
@@ -153,6 +159,7 @@
 
 // Remove takes the end of an entry at a revision.
 func (d *Directory) Remove(agent hop.IP, revision store.Version) (Change, bool) {
+	d.removed[agent] = max(d.removed[agent], revision)
 	known := d.targets[agent]
 	if known == nil || revision <= known.Revision {
 		return Change{}, false
@@ -176,8 +183,16 @@
 	return changes
 }
 
-// Used notes that a packet is sent to an agent.
-func (d *Directory) Used(now time.Time, agent hop.IP) {
+// Used notes that a packet is sent to an agent, which passes it on to the next candidates when it has to. One of these that
+// does not answer would swallow the packet, so they are asked as well.
+func (d *Directory) Used(now time.Time, agent hop.IP, next ...hop.IP) {
+	d.use(now, agent)
+	for _, candidate := range next {
+		d.use(now, candidate)
+	}
+}
+
+func (d *Directory) use(now time.Time, agent hop.IP) {
 	if t := d.targets[agent]; t != nil {
 		t.usedAt = now
 	}
--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -408,3 +408,41 @@
 	g.Expect(count).To(BeNumerically("<=", 13))
 	g.Expect(count).To(BeNumerically(">=", 10), "it is found within seconds when it comes back")
 }
+
+// The pattern is a balancer that catches up by way of another one, which has not yet heard that a target has left.
+func TestARemovedTargetDoesNotComeBackByAnOldEntry(t *testing.T) {
+	for name, remove := range map[string]func(d *directory.Directory){
+		"its entry says that it has left": func(d *directory.Directory) {
+			d.Put(start, agent(2), registry.Entry{Service: "pedidos", HasLeft: true}, 50)
+		},
+		"its entry is gone":       func(d *directory.Directory) { d.Remove(agent(2), 50) },
+		"no list has it any more": func(d *directory.Directory) { d.Retain(map[hop.IP]struct{}{agent(1): {}}, 50) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			d := filled(2)
+			remove(d)
+			_, hasChanged := d.Put(start, agent(2), ready("quito"), 40)
+			g.Expect(hasChanged).To(BeFalse())
+			g.Expect(order(d, 1, false)).To(Equal([]hop.IP{agent(1)}))
+			d.Put(start, agent(2), ready("quito"), 60)
+			g.Expect(order(d, 1, false)).To(HaveLen(2), "a newer entry is another target")
+		})
+	}
+}
+
+// The pattern is a packet of an open flow in a calm hour: its target is the third in the order, and the VM of the second is
+// gone without a word. Nobody asks that VM but for this packet.
+func TestCandidatesBehindTheFirstAreAskedAsWell(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(200)
+	now := run(d, start, 3*time.Second, everyone)
+	path := order(d, 42, false)
+	gone := path[1]
+	for repeated := range 3 {
+		// A caller repeats its packet after 200 ms and 400 ms more.
+		d.Used(now, path[0], path[1:]...)
+		now = run(d, now, time.Duration(200<<repeated)*time.Millisecond, func(a hop.IP) bool { return a != gone })
+	}
+	g.Expect(slices.Index(order(d, 42, false), gone)).NotTo(Equal(1), "it is tried last, or not at all")
+}
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -47,12 +47,13 @@
 	if d.Verdict != steer.Forward {
 		return
 	}
-	f.directory.Used(now, d.Agent)
+	candidates := d.Header.Candidates[:d.Header.Count]
+	f.directory.Used(now, d.Agent, candidates...)
 	if !p.Opens || p.Copies == 0 {
 		return
 	}
 	f.directory.Suspect(now, d.Agent)
-	for _, agent := range d.Header.Candidates[:d.Header.Count] {
+	for _, agent := range candidates {
 		f.directory.Suspect(now, agent)
 	}
 }
