--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// catchUpDelay is the time in which a change normally reaches a balancer by itself after another one has it: the
-	// store answers in 4 ms, and in a few hundred when it is slow.
+	// catchUpDelay is the time in which a change normally reaches a balancer whose call to the store waits: 4 ms, and a few
+	// hundred when the store is slow. A balancer whose next call is not due (followSpacing) is told by the other one.
 	catchUpDelay = 300 * time.Millisecond
 	// seedDelay is the time in which a healthy store tells a balancer that starts all it needs: two calls of 4 ms.
 	seedDelay = 40 * time.Millisecond
