One process without keys, openings of a resident in a file of their own, dead field gone

From reading the change as a whole; behaviour stays. Both mains of opaque flows wrapped their program in the same process without keys: program.Keyless takes its place. admission.waiting.since was no longer read since the order follows the birth. takeTargets hands the view over by refresh, as the others do. resident.go held two jobs; openings and load are in openings.go, moved as they were.

--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"net/netip"
 	"time"
 
-	"gentianswitch/internal/keys"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/opaque/sidecar"
 	"gentianswitch/internal/program"
@@ -66,24 +64,15 @@
 	return nil
 }
 
-// opaqueProcess runs a sidecar, whose stop is never forced and which has no keys.
-type opaqueProcess struct{ *sidecar.Sidecar }
-
-// SetKeys implements program.Process.
-func (opaqueProcess) SetKeys(*keys.Set) error { return nil }
-
-// Run implements program.Process.
-func (p opaqueProcess) Run(graceful, _ context.Context) error { return p.Sidecar.Run(graceful) }
-
 func (o *opaqueOptions) newProcess(parts program.Parts) (program.Process, error) {
 	s := sidecar.Settings{
 		Data: parts.Common.Data, Outbound: o.outbound, Target: o.target, Announce: o.announce,
 		PeerPort: o.peer.Port(), Service: o.service, Heartbeat: o.heartbeat,
 	}
-	return opaqueProcess{sidecar.New(s, sidecar.Parts{
+	return program.Keyless(sidecar.New(s, sidecar.Parts{
 		Codec:           platform.Packets{},
 		Store:           platform.NewStore(o.store, metrics.StoreCalls(parts.Scope)),
 		AnnounceHandler: platform.HeartbeatHandler,
 		Log:             parts.Log, Scope: parts.Scope,
-	})}, nil
+	}).Run), nil
 }
--- a/cmd/gentian-balancer/opaque.go
+++ b/cmd/gentian-balancer/opaque.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"net/netip"
 	"time"
 
-	"gentianswitch/internal/keys"
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/opaque/forwarder"
 	"gentianswitch/internal/program"
@@ -56,20 +54,11 @@
 	}
 }
 
-// opaqueProcess runs a forwarder, whose stop is never forced and which has no keys.
-type opaqueProcess struct{ *forwarder.Forwarder }
-
-// SetKeys implements program.Process.
-func (opaqueProcess) SetKeys(*keys.Set) error { return nil }
-
-// Run implements program.Process.
-func (p opaqueProcess) Run(graceful, _ context.Context) error { return p.Forwarder.Run(graceful) }
-
 func (o *opaqueOptions) newProcess(parts program.Parts) (program.Process, error) {
 	s := forwarder.Settings{
 		Zone: parts.Common.Zone, Data: parts.Common.Data, Peer: o.peer, Ready: o.ready, Seeds: o.seeds, Linger: o.linger,
 	}
-	return opaqueProcess{forwarder.New(s, forwarder.Parts{
+	return program.Keyless(forwarder.New(s, forwarder.Parts{
 		Codec: platform.Packets{},
 		Store: platform.NewStore(o.store, metrics.StoreCalls(parts.Scope)),
 		Configuration: forwarder.Configuration{
@@ -77,5 +66,5 @@
 		},
 		ReadyHandler: platform.ReadyHandler,
 		Log:          parts.Log, Scope: parts.Scope,
-	})}, nil
+	}).Run), nil
 }
--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -46,8 +46,8 @@
 
 type waiting[T any] struct {
 	opening Opening[T]
-	// since is when the flow came, and born when its caller began at the latest.
-	since, born time.Time
+	// born is when the caller began at the latest.
+	born time.Time
 	// seen has a bit for each copy of the opening packet that has come, the first packet being copy 0.
 	seen uint8
 }
@@ -76,7 +76,7 @@
 			return last, false
 		}
 	}
-	q.flows = append(q.flows, waiting[T]{opening: o, since: now, born: born, seen: 1 << copies})
+	q.flows = append(q.flows, waiting[T]{opening: o, born: born, seen: 1 << copies})
 	if len(q.flows) <= q.limit() {
 		return last, false
 	}
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -118,7 +118,7 @@
 	}
 	f.mu.Lock()
 	changes := f.directory.Retain(listed, at)
-	f.steer.SetView(f.directory.View())
+	f.refresh()
 	f.isListed = true
 	f.mu.Unlock()
 	for _, change := range changes {
--- /dev/null
+++ b/internal/opaque/resident/openings.go
@@ -0,0 +1,145 @@
+package resident
+
+import (
+	"math"
+	"time"
+
+	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
+)
+
+// Bounds of the load of a target.
+const (
+	// roomFactor is the number of waiting flows for each slot up to which new flows are given to the target: as many
+	// requests wait there as run.
+	roomFactor = 2
+	// fullLoad is the load of a target all of whose slots are in use: fine enough to tell targets apart, and loads up to
+	// eight times as high fit a byte.
+	fullLoad = 32
+	// maxBusy is the number of busy targets after which an opening goes to the least loaded of them. The gain of further
+	// ones is small (docs/MEASUREMENTS.md), and each costs a hop.
+	maxBusy = 4
+	// paceSamples is the weight of the past in the running mean: as many answers as a slow start of two seconds has.
+	paceSamples = 32
+)
+
+// opens returns the decision for a packet that opens a flow which the target does not hold.
+func (r *Resident) opens(now time.Time, id flow.ID, h *hop.Header) Decision {
+	if reason := r.target.refusal(now); reason != Accepting {
+		return decline(h, reason)
+	}
+	if !h.IsSettled && r.isBusy(now) {
+		if d, isElsewhere := r.passOver(h); isElsewhere {
+			return d
+		}
+	}
+	// The most urgent flows do not wait: the requests on flows that are open already would overtake them. Others do not
+	// overtake those that wait.
+	if h.Deferral > 0 && (r.queued > 0 || !r.HasRoom()) {
+		return Decision{Verdict: Wait, Reason: Busy, Header: *h, TellOrigin: h.Hops > 0}
+	}
+	return r.offer(now, id, h)
+}
+
+// isBusy reports whether no slot of the target is free.
+func (r *Resident) isBusy(now time.Time) bool {
+	if r.load() >= fullLoad && now.Sub(r.sweptAt) >= openLimit/2 {
+		r.Sweep(now)
+	}
+	return r.load() >= fullLoad
+}
+
+// passOver looks for a target with a free slot among the next candidates. When maxBusy of them have none, the least loaded
+// one takes the flow. It reports false when that is the target here.
+func (r *Resident) passOver(h *hop.Header) (Decision, bool) {
+	if load := r.load(); h.Busy == 0 || load < h.Load {
+		h.LeastLoaded, h.Load = r.self, load
+	}
+	h.Busy++
+	if h.Busy < maxBusy && h.Count > 0 {
+		return decline(h, Busy), true
+	}
+	if h.LeastLoaded == r.self {
+		return Decision{}, false
+	}
+	return settle(h, Busy), true
+}
+
+// settle sends an opening to the least loaded target that it was offered to.
+func settle(h *hop.Header, reason Reason) Decision {
+	d := Decision{Verdict: PassOn, Reason: reason, Header: *h, Next: h.LeastLoaded}
+	d.Header.IsSettled = true
+	d.Header.Hops++
+	return d
+}
+
+// load returns the requests that run or wait at the target and the openings in front of it; fullLoad stands for all of its
+// slots. An unknown target is idle.
+func (r *Resident) load() uint8 {
+	if !r.target.isKnown {
+		return 0
+	}
+	return uint8(min((r.waiting+r.queued)*fullLoad/max(r.target.last.Slots, 1), math.MaxUint8))
+}
+
+// SetQueued tells how many openings wait for room.
+func (r *Resident) SetQueued(count int) { r.queued = count }
+
+// Offer returns the decision for a packet that opens a flow and has waited for room.
+func (r *Resident) Offer(now time.Time, id flow.ID, h *hop.Header) Decision {
+	if reason := r.target.refusal(now); reason != Accepting {
+		return decline(h, reason)
+	}
+	return r.offer(now, id, h)
+}
+
+// offer gives a flow to the target. It counts as waiting from now on, so that a burst of openings finds no more room than
+// there is.
+func (r *Resident) offer(now time.Time, id flow.ID, h *hop.Header) Decision {
+	r.target.offered(now)
+	r.hold(now, id)
+	return Decision{Verdict: Deliver, Mark: r.remember(h), TellOrigin: h.Hops > 0}
+}
+
+// GiveUp returns the decision for a packet that opens a flow and has waited in vain. The balancer tells the caller at once,
+// unless a copy of the packet may have been accepted elsewhere.
+func (r *Resident) GiveUp(h *hop.Header, mayBeElsewhere bool) Decision {
+	d := Decision{Verdict: GiveBack, Reason: Busy, Header: *h}
+	d.Header.Kind, d.Header.Count = hop.Refused, 0
+	d.Header.MayBeOpen = h.MayBeOpen || mayBeElsewhere
+	return d
+}
+
+// Capacity returns the number of requests that the target answers in a time while all of its slots are in use, or 0 when
+// that is not known.
+func (r *Resident) Capacity(in time.Duration) int {
+	if r.pace == 0 {
+		return 0
+	}
+	return max(int(in/r.pace), 1)
+}
+
+// measurePace takes the moment of an answer. Two answers in a row count when all slots were in use between them.
+func (r *Resident) measurePace(now time.Time) {
+	isFull := r.target.isKnown && r.waiting >= r.target.last.Slots
+	if isFull && !r.answeredAt.IsZero() {
+		took := now.Sub(r.answeredAt)
+		if r.pace == 0 {
+			r.pace = took
+		}
+		r.pace += (took - r.pace) / paceSamples
+	}
+	r.answeredAt = time.Time{}
+	if isFull {
+		r.answeredAt = now
+	}
+}
+
+// HasRoom reports whether a new request would run at once or wait only briefly at the target. Before the target has
+// told its slots there is always room.
+func (r *Resident) HasRoom() bool {
+	return !r.target.isKnown || r.waiting < roomFactor*max(r.target.last.Slots, 1)
+}
+
+// Load returns the number of flows that wait for the target, and its slots.
+func (r *Resident) Load() (waiting, slots int) { return r.waiting, r.target.last.Slots }
--- a/internal/program/service.go
+++ b/internal/program/service.go
@@ -25,6 +25,18 @@
 	Run(graceful, force context.Context) error
 }
 
+// keyless is a process that has no keys and whose stop is never forced.
+type keyless func(graceful context.Context) error
+
+// Keyless returns a process that runs until graceful ends, has no keys, and whose stop is never forced.
+func Keyless(run func(graceful context.Context) error) Process { return keyless(run) }
+
+// SetKeys implements Process.
+func (keyless) SetKeys(*keys.Set) error { return nil }
+
+// Run implements Process.
+func (k keyless) Run(graceful, _ context.Context) error { return k(graceful) }
+
 // Parts are what the common settings of a process name.
 type Parts struct {
 	Common      *settings.Common
