--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -163,8 +164,14 @@
 	return t
 }
 
-func (d *opaqueDeployment) isReady(p *opaqueProcess) bool {
-	answer, err := http.Get("http://" + d.at(p.ip, opaquePortReady).String() + "/v1/readyz")
+// processes returns the balancers and the agents.
+func (d *opaqueDeployment) processes() []*opaqueProcess { return slices.Concat(d.balancers, d.agents) }
+
+func (d *opaqueDeployment) isReady(p *opaqueProcess) bool { return d.saysReady(http.DefaultClient, p) }
+
+// saysReady asks a balancer by a client whether it is ready.
+func (d *opaqueDeployment) saysReady(client *http.Client, p *opaqueProcess) bool {
+	answer, err := client.Get("http://" + d.at(p.ip, opaquePortReady).String() + "/v1/readyz")
 	if err != nil {
 		return false
 	}
@@ -208,7 +215,7 @@
 	for _, t := range d.targets {
 		t.Close()
 	}
-	for _, p := range append(d.balancers, d.agents...) {
+	for _, p := range d.processes() {
 		p.kill()
 	}
 	d.store.Close()
@@ -269,7 +276,7 @@
 // runs returns what the process has written, run by run.
 func (p *opaqueProcess) runs() []string {
 	var all []string
-	for _, name := range append(append([]string{}, p.former...), p.log) {
+	for _, name := range slices.Concat(p.former, []string{p.log}) {
 		raw, err := os.ReadFile(name)
 		Expect(err).NotTo(HaveOccurred())
 		all = append(all, string(raw))
--- a/integration/opaque_explain_test.go
+++ b/integration/opaque_explain_test.go
@@ -37,7 +37,7 @@
 func runPageCommand(d *opaqueDeployment, marker string, values map[string]string) string {
 	GinkgoHelper()
 	dir := GinkgoT().TempDir()
-	for i, p := range append(append([]*opaqueProcess{}, d.balancers...), d.agents...) {
+	for i, p := range d.processes() {
 		name := filepath.Join(dir, fmt.Sprintf("%02d-%s.log", i, p.ip))
 		Expect(os.WriteFile(name, []byte(p.logText()), 0o600)).To(Succeed())
 	}
--- a/integration/soak_schedule_test.go
+++ b/integration/soak_schedule_test.go
@@ -1,14 +1,13 @@
 package integration
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// faultKind is a kind of disturbance of a soak.
+// faultKind is a kind of disturbance of a soak. The kinds stand in groups, by which carryOut tells them apart.
 type faultKind uint8
 
 const (
@@ -87,7 +86,6 @@
 		}
 		faults = append(faults, f)
 	}
-	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return faults
 }
 
