A reset of an open flow rests on answers, never on silence

Ruled out: dead targets (they answered 4 ms later), a stale list of targets.

Change: a pong counts by when its ping was sent; a ping is missed only when another agent has answered one sent no earlier; agents that do not answer stay the last candidates of open flows that they may hold, and get a copy of the packet when they stand first; flows are placed among the first eight of their order, so that agents far down may be left out; a located flow stays at its agent. No belief of isolation is needed any more.

Tests that failed with the guard off: directory (dead left out: 3 tests; misses by the clock: 2), steer (1), proof after 3 histories. Tests changed: IsUsable is gone, its checks ask for the state Dead; sequences are times, so that "the third ping" is counted; the far-down test has 200 targets since 16 places are asked, with the same ratio; a balancer that heard nobody kept dead agents out of open flows, which is the fault itself: now they are last, and out of new flows. A reset of a live flow whose agent a balancer took for dead was excused by the soak; the excuse is gone.

--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -283,6 +282,3 @@
 	}
 	return all
 }
-
-// allText returns what the process has written in all of its runs.
-func (p *opaqueProcess) allText() string { return strings.Join(p.runs(), "") }
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -167,30 +167,18 @@
 	_ = c.Finish()
 }
 
-// checkEnded checks that a flow that was reset lives no more. Where a balancer could not reach the agent for so long that
-// it took it for dead, the reset was right as far as could be known.
+// checkEnded checks that a flow that was reset lives no more. A silent agent is no excuse: a reset rests on answers.
 func (s *soak) checkEnded(c *standin.Caller, served string) {
 	s.mu.Lock()
 	targets := append([]*standin.Target(nil), s.targets...)
 	s.mu.Unlock()
 	for _, t := range targets {
-		if t.Name == served && t.Holds(c.Self()) && !s.wasDead(t) {
+		if t.Name == served && t.Holds(c.Self()) {
 			s.found("flow %s was reset, and %s holds it", c.Flow(), served)
 		}
 	}
 }
 
-// wasDead reports whether a balancer has taken the agent beside a target for dead.
-func (s *soak) wasDead(t *standin.Target) bool {
-	pattern := regexp.MustCompile(`"agent":"` + t.IP().String() + `".*"state":"dead"`)
-	for _, b := range s.balancers {
-		if pattern.MatchString(b.allText()) {
-			return true
-		}
-	}
-	return false
-}
-
 // checkRuns checks that no request has run more than once.
 func (s *soak) checkRuns() {
 	for _, request := range s.requests {
--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -164,6 +164,11 @@
 
 func everyone(hop.IP) bool { return true }
 
+func isDead(d *directory.Directory, agent hop.IP) bool {
+	known, _ := d.Known(agent)
+	return known.State == directory.Dead
+}
+
 func TestAnAgentThatFallsSilentIsTriedLastAndThenLeftOut(t *testing.T) {
 	g := NewWithT(t)
 	d := filled(3)
@@ -175,7 +180,7 @@
 	g.Expect(order(d, 42, true)[2]).To(Equal(first))
 	now = run(d, now, 3*time.Second, others)
 	g.Expect(order(d, 42, true)).To(HaveLen(2))
-	g.Expect(d.View().IsUsable(first)).To(BeFalse())
+	g.Expect(isDead(d, first)).To(BeTrue())
 	run(d, now, 2*time.Second, everyone)
 	g.Expect(order(d, 42, true)[0]).To(Equal(first), "its place comes back with its answers")
 }
@@ -194,12 +199,12 @@
 	g := NewWithT(t)
 	d := filled(1)
 	now := start
-	lost := false
+	lost, sent := false, 0
 	for ; now.Sub(start) < 5*time.Second; now = now.Add(75 * time.Millisecond) {
 		pings, changes := d.Tick(now)
 		g.Expect(changes).To(BeEmpty())
 		for _, p := range pings {
-			if p.Sequence == 3 && !lost {
+			if sent++; sent == 3 {
 				lost = true
 				continue
 			}
@@ -227,7 +232,7 @@
 	g := NewWithT(t)
 	d := filled(2)
 	run(d, start, 5*time.Second, func(a hop.IP) bool { return a == agent(2) })
-	g.Expect(d.View().IsUsable(agent(1))).To(BeFalse())
+	g.Expect(isDead(d, agent(1))).To(BeTrue())
 	_, hasChanged := d.Pong(start.Add(5*time.Second), agent(1), 1)
 	g.Expect(hasChanged).To(BeFalse())
 }
@@ -254,8 +259,10 @@
 	now := run(d, start, 2*time.Second, everyone)
 	now = run(d, now, 10*time.Second, func(hop.IP) bool { return false })
 	g.Expect(order(d, 42, false)).To(HaveLen(3), "it is rather cut off itself, and flows must not be reset for that")
-	run(d, now, 3*time.Second, func(a hop.IP) bool { return a == agent(1) })
-	g.Expect(order(d, 42, false)).To(Equal([]hop.IP{agent(1)}))
+	run(d, now, 4*time.Second, func(a hop.IP) bool { return a == agent(1) })
+	g.Expect(order(d, 42, true)).To(Equal([]hop.IP{agent(1)}), "the others get no new flows")
+	g.Expect(order(d, 42, false)).To(HaveLen(3), "and may hold open ones")
+	g.Expect(order(d, 42, false)[0]).To(Equal(agent(1)))
 }
 
 func TestTheAgesOfABeliefAreKnown(t *testing.T) {
@@ -277,7 +284,7 @@
 // every target, and vanished at the VM that had just gone.
 func TestAFlowIsNotLookedForAtASilentAgentThatIsFarDown(t *testing.T) {
 	g := NewWithT(t)
-	const silent, others = 50, 49
+	const silent, others = 200, 199
 	d := filled(silent)
 	quiet := filled(silent)
 	silence(d, agent(silent))
@@ -286,7 +293,7 @@
 		natural, _ := quiet.View().Order(service, flow, directory.OpenFlow, 0, make([]hop.IP, 0, silent))
 		asked, total := d.View().Order(service, flow, directory.OpenFlow, 0, make([]hop.IP, 0, silent))
 		g.Expect(total).To(Equal(len(asked)))
-		if slices.Index(natural, agent(silent)) < hop.MaxCandidates {
+		if slices.Index(natural, agent(silent)) < 2*hop.MaxCandidates {
 			g.Expect(asked).To(HaveLen(silent))
 			g.Expect(asked[others]).To(Equal(agent(silent)), "it may be there: asked last")
 			near++
@@ -373,18 +380,22 @@
 		}
 		d.Tick(now)
 		for n := byte(1); n <= 10; n++ {
-			g.Expect(d.View().IsUsable(agent(n))).To(BeTrue())
+			g.Expect(isDead(d, agent(n))).To(BeFalse())
+		}
+	}
+	var pings []directory.Ping
+	for from := now; now.Sub(from) < 4*time.Second; now = now.Add(75 * time.Millisecond) {
+		d.Used(now, agent(1), agent(20))
+		pings, _ = d.Tick(now)
+		for _, p := range pings {
+			if p.Agent == agent(20) {
+				d.Pong(now, agent(20), p.Sequence)
+			}
 		}
 	}
-	pings, _ := d.Tick(now.Add(rarest))
-	g.Expect(pings).NotTo(BeEmpty())
-	d.Pong(now.Add(rarest), agent(20), 0)
-	g.Expect(d.View().IsUsable(agent(1))).To(BeFalse(), "it is not cut off: agent 20 answers")
+	g.Expect(isDead(d, agent(1))).To(BeTrue(), "it is not cut off: agent 20 answers")
 }
 
-// rarest is the longest time between two pings of a dead agent.
-const rarest = 5 * time.Second
-
 func TestDeadAgentsArePingedLessAndLess(t *testing.T) {
 	g := NewWithT(t)
 	d := filled(4)
@@ -446,3 +457,114 @@
 	}
 	g.Expect(slices.Index(order(d, 42, false), gone)).NotTo(Equal(1), "it is tried last, or not at all")
 }
+
+// delayed plays a link on which each answer takes a time and some are lost, and lets the agents be used all the while. It
+// returns the changes of belief.
+func delayed(d *directory.Directory, from time.Time, length, delay time.Duration, isLost func() bool) []directory.Change {
+	type pong struct {
+		at   time.Time
+		ping directory.Ping
+	}
+	var under []pong
+	var all []directory.Change
+	for now := from; now.Sub(from) < length; now = now.Add(75 * time.Millisecond) {
+		for len(under) > 0 && !under[0].at.After(now) {
+			d.Pong(now, under[0].ping.Agent, under[0].ping.Sequence)
+			under = under[1:]
+		}
+		for _, t := range d.Targets() {
+			d.Used(now, t.Agent)
+		}
+		pings, changes := d.Tick(now)
+		all = append(all, changes...)
+		for _, p := range pings {
+			if !isLost() {
+				under = append(under, pong{at: now.Add(delay), ping: p})
+			}
+		}
+	}
+	return all
+}
+
+// The pattern is a full link: the answers of all agents wait behind the packets of callers.
+func TestLateAnswersOfAllAgentsMakeNoneSuspect(t *testing.T) {
+	for _, delay := range []time.Duration{200 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond} {
+		g := NewWithT(t)
+		d := filled(14)
+		now := run(d, start, 3*time.Second, everyone)
+		changes := delayed(d, now, 20*time.Second, delay, func() bool { return false })
+		g.Expect(changes).To(BeEmpty(), "answers take %s", delay)
+	}
+}
+
+// The pattern is a full link that drops most packets: silence is no knowledge, and a walk through the candidates of an open
+// flow must not end without asking them.
+func TestAnOpenFlowIsLookedForAtAgentsThatDoNotAnswer(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(14)
+	now := run(d, start, 3*time.Second, everyone)
+	answered := 0
+	delayed(d, now, 20*time.Second, 300*time.Millisecond, func() bool {
+		answered++
+		return answered%10 != 0
+	})
+	for flow := range uint64(200) {
+		all, _ := d.View().Order(service, flow, directory.OpenFlow, 0, make([]hop.IP, 0, 14))
+		g.Expect(all).To(HaveLen(14))
+	}
+}
+
+// The pattern is a view in which every agent is silent but one.
+func TestADeadAgentIsAskedLastForOpenFlows(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(3)
+	now := run(d, start, 3*time.Second, everyone)
+	natural := order(d, 42, false)
+	run(d, now, 10*time.Second, func(a hop.IP) bool { return a == natural[2] })
+	g.Expect(isDead(d, natural[0])).To(BeTrue())
+	g.Expect(order(d, 42, false)).To(Equal([]hop.IP{natural[2], natural[0], natural[1]}))
+	g.Expect(order(d, 42, true)).To(Equal([]hop.IP{natural[2]}))
+	passed, hasPassed := d.View().Passed(service, 42)
+	g.Expect(hasPassed).To(BeTrue())
+	g.Expect(passed).To(Equal(natural[0]))
+}
+
+// What lets a walk leave out silent agents that are far down: a flow is placed among the first of its order only, for the
+// balancers of every availability zone and whatever the states of the agents.
+func TestFlowsArePlacedWhereTheyAreLookedFor(t *testing.T) {
+	g := NewWithT(t)
+	zones := []string{"quito", "ambato", "cuenca"}
+	balancers := make([]*directory.Directory, len(zones))
+	for z, zone := range zones {
+		balancers[z] = directory.New(self, zone)
+		for n := byte(1); n <= 60; n++ {
+			balancers[z].Put(start, agent(n), ready(zones[n%3]), store.Version(n))
+		}
+	}
+	now := run(balancers[0], start, 3*time.Second, everyone)
+	run(balancers[0], now, 10*time.Second, func(a hop.IP) bool { return a[3]%4 == 0 })
+	// Another balancer sees other agents silent, and looks for what the first one has placed.
+	for _, looking := range balancers[1:] {
+		from := run(looking, start, 3*time.Second, everyone)
+		for n := byte(1); n <= 60; n++ {
+			looking.Used(from, agent(n))
+		}
+		run(looking, from, 1500*time.Millisecond, func(a hop.IP) bool { return a[3]%4 != 0 })
+		for flow := range uint64(2000) {
+			all, _ := looking.View().Order(service, flow, directory.OpenFlow, 0, make([]hop.IP, 0, 60))
+			g.Expect(all).To(ContainElements(order(balancers[0], flow, true)))
+		}
+	}
+}
+
+// A ping of an agent that answers goes with those of agents that do not, so that their silence can be told from a full link.
+func TestAnAgentInDoubtIsFoundSilentWhenNothingElseIsAsked(t *testing.T) {
+	g := NewWithT(t)
+	d := filled(30)
+	now := run(d, start, 3*time.Second, everyone)
+	gone := order(d, 42, true)[0]
+	d.Suspect(now, gone)
+	run(d, now, 600*time.Millisecond, func(a hop.IP) bool { return a != gone })
+	known, _ := d.Known(gone)
+	g.Expect(known.State).To(Equal(directory.Suspect))
+}
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -8,29 +8,40 @@
 
 // View is an immutable state of the directory, arranged for decisions on packets.
 type View struct {
-	// Epoch changes with the view.
-	Epoch  uint16
-	pools  map[desired.ServiceKey][]Candidate
+	pools  map[desired.ServiceKey]*pool
 	agents map[hop.IP]Reachability
 }
 
+// pool holds the targets of a service, in an order without meaning.
+type pool struct {
+	candidates []Candidate
+	// silent is the number of candidates that do not answer.
+	silent int
+}
+
 // Candidate is a target that a flow may be on.
 type Candidate struct {
-	Agent      hop.IP
-	Zone       string
-	Seed       uint64
-	Weight     float64
-	IsDraining bool
-	State      Reachability
+	Agent hop.IP
+	Zone  string
+	Seed  uint64
+	// Slots is the weight without the preference of a zone, Weight the one for the balancer's zone.
+	Slots, Weight float64
+	IsDraining    bool
+	State         Reachability
 }
 
 // Pool returns the targets of a service, in an order without meaning.
-func (v *View) Pool(service desired.ServiceKey) []Candidate { return v.pools[service] }
+func (v *View) Pool(service desired.ServiceKey) []Candidate {
+	if p := v.pools[service]; p != nil {
+		return p.candidates
+	}
+	return nil
+}
 
-// IsUsable reports whether a packet may be sent to an agent: it is known and not dead.
-func (v *View) IsUsable(agent hop.IP) bool {
-	state, isKnown := v.agents[agent]
-	return isKnown && state != Dead
+// IsKnown reports whether there is a target beside an agent.
+func (v *View) IsKnown(agent hop.IP) bool {
+	_, isKnown := v.agents[agent]
+	return isKnown
 }
 
 // Len returns the number of targets.
@@ -38,47 +49,48 @@
 
 func (d *Directory) compile() {
 	d.choosePinged()
-	pools := make(map[desired.ServiceKey][]Candidate)
-	isIsolated := d.isIsolated()
+	pools := make(map[desired.ServiceKey]*pool)
 	agents := make(map[hop.IP]Reachability, len(d.targets))
 	for _, t := range d.targets {
-		state := t.State
-		if state == Dead && isIsolated {
-			state = Suspect
+		agents[t.Agent] = t.State
+		p := pools[t.service]
+		if p == nil {
+			p = &pool{}
+			pools[t.service] = p
+		}
+		if t.State != Reachable {
+			p.silent++
 		}
-		agents[t.Agent] = state
-		pools[t.service] = append(pools[t.service], Candidate{
-			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Weight: float64(max(t.Entry.Slots, 1)) * d.preference(t.Entry.Zone),
-			IsDraining: t.Entry.IsDraining, State: state,
+		slots := float64(max(t.Entry.Slots, 1))
+		p.candidates = append(p.candidates, Candidate{
+			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Slots: slots, Weight: slots * preference(d.zone, t.Entry.Zone),
+			IsDraining: t.Entry.IsDraining, State: t.State,
 		})
 	}
 	d.view = &View{pools: pools, agents: agents}
 }
 
-// isIsolated reports whether no agent has answered for so long that one would be dead. Then this balancer is rather cut off
-// itself, and no flow counts as lost.
-func (d *Directory) isIsolated() bool { return d.now.Sub(d.answeredAt) >= deadAfter }
-
 // choosePinged chooses the agents that are pinged without a packet: other ones for each balancer.
 func (d *Directory) choosePinged() {
 	var buffer [alwaysPinged]scored
 	order := buffer[:0]
 	for _, t := range d.targets {
-		t.isAlwaysPinged = false
+		t.reach.isAlwaysPinged = false
 		if t.State == Reachable {
 			order = insert(order, alwaysPinged, scored{agent: t.Agent, score: rendezvous.Score(d.seed, t.seed, 1)})
 		}
 	}
 	for _, c := range order {
-		d.targets[c.agent].isAlwaysPinged = true
+		d.targets[c.agent].reach.isAlwaysPinged = true
 	}
 }
 
 // scored is a candidate and its place in the order for one flow.
 type scored struct {
-	agent hop.IP
-	score float64
-	tier  uint8
+	agent     hop.IP
+	candidate *Candidate
+	score     float64
+	tier      uint8
 }
 
 // Audience tells for which packets of a flow candidates are wanted.
@@ -94,62 +106,120 @@
 	RepeatedOpening
 )
 
+// Places of a flow in the order of its candidates.
+const (
+	// placedAmong is the number of first candidates, whatever their state, among which a flow is placed: one frame.
+	placedAmong = hop.MaxCandidates
+	// searchedAmong is the number of first candidates among which a flow is looked for at agents that do not answer. It
+	// is above placedAmong, since targets that are added move others back.
+	searchedAmong = 2 * placedAmong
+)
+
+// Tiers of candidates after those that answer; the Reachability of the others is theirs.
+const (
+	tierDraining = uint8(Dead)
+	tierDead     = uint8(Dead) + 1
+)
+
 // Order appends to out the agents of a service in the order in which a flow is offered to them, without the first skip,
 // up to the capacity of out. It also returns how many there are in all. The order follows from the flow, the set of
-// targets and the balancer's zone alone, so that balancers of a zone with the same view agree. Targets that do not answer come last.
+// targets and the balancer's zone alone, so that balancers of a zone with the same view agree. Targets that do not answer
+// come last.
 func (v *View) Order(service desired.ServiceKey, flow uint64, to Audience, skip int, out []hop.IP) ([]hop.IP, int) {
-	pool := v.pools[service]
+	p := v.pools[service]
+	if p == nil {
+		return out, 0
+	}
 	var buffer [orderBuffer]scored
-	order, wanted := buffer[:0], skip+cap(out)-len(out)
-	total := 0
-	var nearest threshold
-	for i := range pool {
-		c := &pool[i]
-		if c.State == Dead || to == NewFlow && c.IsDraining {
+	var order []scored
+	var total int
+	if to == OpenFlow {
+		order, total = p.search(flow, skip+cap(out)-len(out), buffer[:0])
+	} else {
+		order = p.placement(flow, to, buffer[:0])
+		total = len(order)
+	}
+	for i := skip; i < len(order) && len(out) < cap(out); i++ {
+		out = append(out, order[i].agent)
+	}
+	return out, total
+}
+
+// placement returns the candidates for an opening.
+func (p *pool) placement(flow uint64, to Audience, order []scored) []scored {
+	var buffer [placedAmong]scored
+	first := buffer[:0]
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		first = insert(first, placedAmong, scored{candidate: c, score: rendezvous.Score(flow, c.Seed, c.Weight)})
+	}
+	for _, s := range first {
+		c := s.candidate
+		if to == NewFlow && (c.IsDraining || c.State == Dead) {
 			continue
 		}
-		score := rendezvous.Score(flow, c.Seed, c.Weight)
-		if c.State == Suspect && score < nearest.score(pool, flow) {
-			continue
+		s.agent, s.tier = c.Agent, uint8(c.State)
+		switch {
+		case c.State == Dead:
+			s.tier = tierDead
+		case c.IsDraining:
+			s.tier = tierDraining
 		}
-		tier := uint8(c.State)
-		if to == RepeatedOpening && c.IsDraining {
-			tier = uint8(Dead)
+		order = insert(order, placedAmong, s)
+	}
+	return order
+}
+
+// search returns the first wanted candidates for a packet of a flow that may be open, and how many there are in all. An
+// agent that does not answer may hold the flow when it is near: its silence must not end the walk. A packet sent there is
+// lost when its VM is gone, so that those which cannot hold the flow are left out.
+func (p *pool) search(flow uint64, wanted int, order []scored) ([]scored, int) {
+	total := 0
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if c.State != Reachable && !p.isNear(c, flow) {
+			continue
 		}
 		total++
-		ranked := scored{agent: c.Agent, score: score, tier: tier}
-		order = insert(order, wanted, ranked)
-	}
-	for i := skip; i < len(order); i++ {
-		out = append(out, order[i].agent)
+		order = insert(order, wanted, scored{
+			agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: uint8(c.State),
+		})
 	}
-	return out, total
+	return order, total
 }
 
-// nearCandidates is the number of first candidates among which a flow is placed: one frame. It goes further only when all
-// of these decline it.
-const nearCandidates = hop.MaxCandidates
-
-// threshold is the score of the last of the nearCandidates, once it has been asked for.
-type threshold struct {
-	value   float64
-	isKnown bool
+// isNear reports whether a candidate is among the first searchedAmong for the balancers of its own zone, where it stands
+// before its places for others.
+func (p *pool) isNear(c *Candidate, flow uint64) bool {
+	score := rendezvous.Score(flow, c.Seed, c.Slots*localPreference)
+	ahead := 0
+	for i := range p.candidates {
+		other := &p.candidates[i]
+		if rendezvous.Score(flow, other.Seed, other.Slots*preference(c.Zone, other.Zone)) <= score {
+			continue
+		}
+		if ahead++; ahead == searchedAmong {
+			return false
+		}
+	}
+	return true
 }
 
-// score returns the lowest score of the first candidates of a flow, whatever their state. A packet sent to an agent that
-// does not answer is lost; so a flow is not looked for at such an agent when it is not placed there. Its caller, whose flow
-// has ended elsewhere, is told at once.
-func (t *threshold) score(pool []Candidate, flow uint64) float64 {
-	if t.isKnown {
-		return t.value
+// Passed returns the first candidate of a flow when it does not answer, so that the order passes it over.
+func (v *View) Passed(service desired.ServiceKey, flow uint64) (hop.IP, bool) {
+	p := v.pools[service]
+	if p == nil || p.silent == 0 {
+		return hop.IP{}, false
 	}
-	var buffer [nearCandidates]scored
-	order := buffer[:0]
-	for i := range pool {
-		order = insert(order, nearCandidates, scored{score: rendezvous.Score(flow, pool[i].Seed, pool[i].Weight)})
+	var first *Candidate
+	top := 0.0
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if score := rendezvous.Score(flow, c.Seed, c.Weight); first == nil || score > top {
+			first, top = c, score
+		}
 	}
-	t.value, t.isKnown = order[len(order)-1].score, true
-	return t.value
+	return first.Agent, first.State != Reachable
 }
 
 // insert puts a candidate in its place in the order, unless it is behind all that are wanted.
@@ -189,8 +259,9 @@
 // a millisecond; a higher weight overloads zones with few targets.
 const localPreference = 2
 
-func (d *Directory) preference(zone string) float64 {
-	if zone == d.zone {
+// preference returns the factor on the weight of a target for the balancers of a zone.
+func preference(balancers, target string) float64 {
+	if balancers == target {
 		return localPreference
 	}
 	return 1
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -65,6 +65,10 @@
 		if p.Opens {
 			f.logPlaced(p, d)
 		}
+		if d.HasPassed {
+			h := d.CopyHeader()
+			f.send(d.Passed, h.Append(datagram))
+		}
 		f.send(d.Agent, d.Header.Append(datagram))
 	case steer.Reset:
 		f.reset(p, d)
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -64,6 +64,9 @@
 	Busy        uint8
 	LeastLoaded IP
 	Load        uint8
+	// IsCopy is set in a copy of a packet whose walk goes on elsewhere: an agent whose target does not hold the flow
+	// drops it.
+	IsCopy bool
 	// IsSettled is set when the next agent takes the opening although its target is busy.
 	IsSettled bool
 	// Objective is the latency objective of the flow's route in milliseconds, and Deferral tells by how many steps the
@@ -85,7 +88,8 @@
 	confirmedBit = 0x80
 	mayBeOpenBit = 0x40
 	settledBit   = 0x20
-	kindMask     = 0x1f
+	copyBit      = 0x10
+	kindMask     = 0x0f
 )
 
 // ErrMalformed means that a datagram is no frame.
@@ -111,6 +115,9 @@
 	if h.IsSettled {
 		kind |= settledBit
 	}
+	if h.IsCopy {
+		kind |= copyBit
+	}
 	frame = append(frame, h.LeastLoaded[:]...)
 	return append(frame, h.Load, h.Busy, h.Deferral, h.Walked, h.Hops, h.Count, kind)
 }
@@ -131,6 +138,7 @@
 	kind := fixed[28]
 	h.Kind = Kind(kind & kindMask)
 	h.IsConfirmed, h.MayBeOpen, h.IsSettled = kind&confirmedBit != 0, kind&mayBeOpenBit != 0, kind&settledBit != 0
+	h.IsCopy = kind&copyBit != 0
 	list := int(h.Count) * addressBytes
 	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Refused {
 		return nil, ErrMalformed
--- a/internal/opaque/proof/proof_test.go
+++ b/internal/opaque/proof/proof_test.go
@@ -24,6 +24,10 @@
 		"a target leaves":        func(*rapid.T) { w.leave() },
 		"a target is added":      func(*rapid.T) { w.add() },
 		"an address is reused":   func(*rapid.T) { w.reuse() },
+		"an agent is cut off":    func(*rapid.T) { w.anyHost().isCut = true },
+		"an agent is back":       func(*rapid.T) { w.anyHost().isCut = false },
+		"a balancer pings":       func(*rapid.T) { w.ping(w.anyBalancer(), everyHost) },
+		"a link is full":         func(*rapid.T) { w.ping(w.anyBalancer(), w.fewHosts()) },
 		"time passes":            func(*rapid.T) { w.now = w.now.Add(150 * time.Millisecond) },
 		"an old opening arrives": func(*rapid.T) { w.repeatOpening() },
 	}
@@ -59,7 +63,7 @@
 		return
 	}
 	r := w.deliver(w.balancers[0], flow.Packet{Source: id.Caller, Destination: id.Address, Opens: true, Copies: 1})
-	if r.isReset && w.balancers[0].directory.View().IsUsable(lives[0].ip) {
+	if r.isReset {
 		w.t.Fatalf("a late opening of flow %s was reset, and the flow lives", id)
 	}
 	if r.at != nil && r.at != lives[0] {
@@ -75,11 +79,11 @@
 	}
 }
 
-// send delivers data and expects it at the target that holds the flow.
+// send delivers data and expects it at the target that holds the flow, unless it was lost at a VM that is cut off.
 func (w *world) send(id flow.ID) {
 	r := w.deliver(w.anyBalancer(), flow.Packet{Source: id.Caller, Destination: id.Address, Payload: 10})
 	for _, h := range w.hosts {
-		if h.flows[id] && !h.hasLeft && r.at != h {
+		if h.flows[id] && !h.hasLeft && r.at != h && !r.isLost {
 			w.t.Fatalf("flow %s lives on %v and its packet did not get there: %+v", id, h.ip, r)
 		}
 	}
--- a/internal/opaque/proof/world_test.go
+++ b/internal/opaque/proof/world_test.go
@@ -40,6 +40,8 @@
 	halfOpen   map[flow.ID]bool
 	isDraining bool
 	hasLeft    bool
+	// isCut is set while no frame reaches the VM.
+	isCut bool
 	// forbidden counts openings that the target got while it drained or from another service.
 	forbidden int
 }
@@ -139,6 +141,31 @@
 	b.steer.SetView(b.directory.View())
 }
 
+func everyHost(*host) bool { return true }
+
+// fewHosts returns a choice of one host, whose answers arrive while those of the others are lost.
+func (w *world) fewHosts() func(*host) bool {
+	heard := w.anyHost()
+	return func(h *host) bool { return h == heard }
+}
+
+// ping lets a balancer ping its agents for some seconds; of those that are not cut off it hears the ones that arrive picks.
+func (w *world) ping(b *balancer, arrives func(*host) bool) {
+	const step, length = 75 * time.Millisecond, 4 * time.Second
+	for from := w.now; w.now.Sub(from) < length; w.now = w.now.Add(step) {
+		for _, t := range b.directory.Targets() {
+			b.directory.Used(w.now, t.Agent)
+		}
+		pings, _ := b.directory.Tick(w.now)
+		for _, p := range pings {
+			if h := w.hostAt(p.Agent); h != nil && !h.isCut && arrives(h) {
+				b.directory.Pong(w.now, p.Agent, p.Sequence)
+			}
+		}
+	}
+	b.steer.SetView(b.directory.View())
+}
+
 func (w *world) expectDead(id flow.ID, what string) {
 	for _, h := range w.hosts {
 		if h.flows[id] && !h.hasLeft {
@@ -152,6 +179,8 @@
 	isReset bool
 	// at is the host whose target took the packet.
 	at *host
+	// isLost is set when the packet went to a VM that is cut off.
+	isLost bool
 }
 
 // deliver carries a caller's packet to its end.
@@ -174,18 +203,27 @@
 		case steer.Drop:
 			return result{}
 		}
-		at, back := w.walk(b, p, d.Agent, d.Header)
-		if at != nil {
-			return result{at: at}
+		if d.HasPassed {
+			if at, _, _ := w.walk(b, p, d.Passed, d.CopyHeader()); at != nil {
+				return result{at: at}
+			}
+		}
+		at, back, isLost := w.walk(b, p, d.Agent, d.Header)
+		if at != nil || isLost {
+			return result{at: at, isLost: isLost}
 		}
 		d = b.steer.Returned(w.now, &p, &back)
 	}
 }
 
-// walk carries a frame from agent to agent until a target takes the packet or none is left.
-func (w *world) walk(b *balancer, p flow.Packet, agent hop.IP, h hop.Header) (*host, hop.Header) {
+// walk carries a frame from agent to agent until a target takes the packet or none is left. It reports true when the frame
+// went to a VM that is cut off, or was a copy that nobody took.
+func (w *world) walk(b *balancer, p flow.Packet, agent hop.IP, h hop.Header) (*host, hop.Header, bool) {
 	for {
 		at := w.hostAt(agent)
+		if at != nil && at.isCut {
+			return nil, hop.Header{}, true
+		}
 		if at == nil {
 			w.t.Fatalf("a packet went to %v, where no agent is", agent)
 		}
@@ -195,7 +233,7 @@
 		}
 		if d.Verdict == resident.Deliver {
 			if w.take(at, p) {
-				return at, hop.Header{}
+				return at, hop.Header{}, false
 			}
 			bounced := p
 			bounced.IsBounced, bounced.Mark = true, d.Mark
@@ -205,7 +243,12 @@
 		case resident.PassOn:
 			agent, h = d.Next, d.Header
 		case resident.GiveBack:
-			return nil, d.Header
+			return nil, d.Header, false
+		case resident.Drop:
+			if h.IsCopy {
+				return nil, hop.Header{}, true
+			}
+			w.t.Fatalf("%s dropped a packet of %s", d.Reason, p.FromCaller())
 		default:
 			w.t.Fatalf("verdict %s for %s", d.Verdict, p.FromCaller())
 		}
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -310,6 +310,9 @@
 }
 
 func decline(h *hop.Header, reason Reason) Decision {
+	if h.IsCopy {
+		return Decision{Verdict: Drop, Reason: reason}
+	}
 	d := Decision{Verdict: PassOn, Reason: reason, Header: *h}
 	next, ok := d.Header.Next()
 	if !ok && h.Busy > 0 && !h.IsSettled {
--- a/internal/opaque/resident/resident_test.go
+++ b/internal/opaque/resident/resident_test.go
@@ -354,3 +354,30 @@
 	g.Expect(r.FromNode(after(10), opening(2), frame(next)).Header.MayBeOpen).To(BeFalse(), "the first copy opens nothing twice")
 	g.Expect(r.FromNode(after(2000), repeated, frame(next)).Header.MayBeOpen).To(BeFalse(), "its table would hold the flow")
 }
+
+func TestACopyIsDeliveredButNeverPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	copied := frame()
+	copied.IsCopy, copied.Hops = true, 1
+	other := frame()
+	other.IsCopy, other.Service = true, uint64(desired.KeyOf("mensajes-voz"))
+	g.Expect(r.FromNode(start, data(1, 1), other).Verdict).To(Equal(resident.Drop))
+	d := r.FromNode(start, data(1, 1), copied)
+	g.Expect(d.Verdict).To(Equal(resident.Deliver))
+	bounced := data(1, 1)
+	bounced.IsBounced, bounced.Mark = true, d.Mark
+	g.Expect(r.FromTarget(start, bounced).Verdict).To(Equal(resident.Drop), "the walk goes on elsewhere")
+}
+
+func TestACopyThatFindsItsFlowTellsWhereItIs(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	r.FromNode(start, opening(1), frame())
+	r.FromTarget(start, &flow.Packet{Source: address, Destination: opening(1).Source, Accepts: true})
+	copied := frame()
+	copied.IsCopy, copied.Hops = true, 1
+	d := r.FromNode(after(10), data(1, 1), copied)
+	g.Expect(d.Verdict).To(Equal(resident.Deliver))
+	g.Expect(d.TellOrigin).To(BeTrue())
+}
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -70,6 +70,10 @@
 	// Agent is the agent to send to, for Forward.
 	Agent  hop.IP
 	Header hop.Header
+	// Passed is the first candidate, when HasPassed is set: it does not answer, so the walk begins behind it, and it gets
+	// a copy of the packet.
+	Passed    hop.IP
+	HasPassed bool
 	// Route is the route of the flow, or nil.
 	Route *desired.Route
 }
@@ -156,7 +160,7 @@
 		return refusal
 	}
 	known, ok := s.located.get(id)
-	if !ok || !s.view.IsUsable(known.agent) {
+	if !ok || !s.view.IsKnown(known.agent) {
 		return s.walk(now, p, Decision{Route: route}, 0, false)
 	}
 	d := Decision{
@@ -239,9 +243,21 @@
 	hops := d.Header.Hops
 	d.Agent, _ = d.Header.Next()
 	d.Header.Hops = hops
+	if walked == 0 && !p.Opens {
+		d.Passed, d.HasPassed = s.view.Passed(desired.ServiceKey(d.Header.Service), p.FromCaller().Hash())
+		d.HasPassed = d.HasPassed && d.Passed != d.Agent
+	}
 	return d
 }
 
+// CopyHeader returns the header of the copy that goes to Passed. It counts a hop, so that an agent which holds the flow
+// tells where it is.
+func (d *Decision) CopyHeader() hop.Header {
+	h := d.Header
+	h.IsCopy, h.Count, h.Hops = true, 0, 1
+	return h
+}
+
 func (s *Steer) route(p *flow.Packet, id flow.ID) (*desired.Route, Decision) {
 	if s.table == nil {
 		return nil, Decision{Verdict: Drop, Reason: NoTable}
--- a/internal/opaque/steer/steer_test.go
+++ b/internal/opaque/steer/steer_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -330,3 +331,62 @@
 	g.Expect(straight.Header.Deferral).To(BeEquivalentTo(1))
 	g.Expect(straight.Header.Objective).To(Equal(first.Header.Objective))
 }
+
+// silence lets all agents but the answering ones go without a word for some seconds.
+func silence(s *steer.Steer, d *directory.Directory, answering ...hop.IP) {
+	for now := start; now.Sub(start) < 10*time.Second; now = now.Add(75 * time.Millisecond) {
+		for _, t := range d.Targets() {
+			d.Used(now, t.Agent)
+		}
+		pings, _ := d.Tick(now)
+		for _, ping := range pings {
+			if slices.Contains(answering, ping.Agent) {
+				d.Pong(now, ping.Agent, ping.Sequence)
+			}
+		}
+	}
+	s.SetView(d.View())
+}
+
+// The pattern is silence that is taken for knowledge: the flow's target lives, and no answer of its agent arrives.
+func TestAFlowThatMayLiveAtASilentAgentIsNotReset(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2, 3)
+	holder := s.Decide(start, data()).Agent
+	other := s.Decide(start, data()).Header.Candidates[0]
+	silence(s, d, other)
+	first := s.Decide(start, data())
+	g.Expect(first.Agent).To(Equal(other))
+	g.Expect(first.Header.Candidates[:first.Header.Count]).To(ContainElement(holder), "the walk ends at agents that do not answer")
+	partial := first.Header
+	partial.Walked = 1
+	g.Expect(s.Returned(start, data(), &partial).Verdict).To(Equal(steer.Forward), "one has declined, the others were not heard")
+	g.Expect(s.Returned(start, data(), &first.Header).Verdict).To(Equal(steer.Confirm), "each has declined")
+}
+
+func TestTheFirstCandidateOfAFlowGetsACopyWhenItIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2, 3)
+	g.Expect(s.Decide(start, data()).HasPassed).To(BeFalse())
+	natural := s.Decide(start, data())
+	silence(s, d, natural.Header.Candidates[0])
+	passing := s.Decide(start, data())
+	g.Expect(passing.HasPassed).To(BeTrue())
+	g.Expect(passing.Passed).To(Equal(natural.Agent))
+	h := passing.CopyHeader()
+	g.Expect(h.IsCopy).To(BeTrue())
+	g.Expect(h.Count).To(BeZero())
+	g.Expect(h.Hops).To(BeEquivalentTo(1), "the agent tells that the flow is there")
+	g.Expect(s.Decide(start, opening()).HasPassed).To(BeFalse(), "an opening must not open two flows")
+	g.Expect(s.Returned(start, data(), &passing.Header).HasPassed).To(BeFalse())
+}
+
+func TestALocatedFlowStaysAtAnAgentThatDoesNotAnswer(t *testing.T) {
+	g := NewWithT(t)
+	s, d := serving(1, 2, 3)
+	holder := s.Decide(start, data()).Header.Candidates[0]
+	s.Locate(start, data().FromCaller(), holder, desired.KeyOf("pedidos"))
+	silence(s, d, s.Decide(start, opening()).Agent)
+	g.Expect(s.Decide(start, data()).Agent).To(Equal(holder))
+	g.Expect(s.Decide(start, data()).Reason).To(Equal(steer.Remembered))
+}
