A transfer ends by lack of progress, and a start needs few bytes

A call to the store had 900 ms altogether; a configuration of 1,560 routes does not pass 2 Mbit/s beside the packets of callers in that time. Ruled out: refusals of the store (it was back 2 s after the power).

Change: internal/progress ends a call after 900 ms without a byte (600 ms between balancers); handover carries the configuration compressed, only when it is newer, and the revision from which the store is followed, so that a reading that is under way ends; seeds are asked after waits that double up to 2 s.

--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -93,12 +93,20 @@
 		s.setWeather(standin.Weather{Lost: 0.1, Doubled: 0.1, Delay: 30 * time.Millisecond})
 		time.Sleep(f.last)
 		s.setWeather(standin.Weather{})
+	case narrowNetwork:
+		s.setWeather(standin.Weather{Rate: narrowCallers})
+		s.cut(f.last, standin.Narrow, s.proxies...)
+		s.setWeather(standin.Weather{})
 	default:
 		cuts := map[faultKind]standin.Cut{cutOneWay: standin.OneWay, cutSilent: standin.Silenced, cutRefused: standin.Refused}
 		s.cut(f.last, cuts[f.kind], s.proxies[f.victim])
 	}
 }
 
+// narrowCallers is the rate in bytes a second at which packets of callers reach a balancer while its link is narrow: less
+// than they send.
+const narrowCallers = 1_000
+
 func (s *soak) setWeather(w standin.Weather) {
 	for _, r := range s.relays {
 		r.Set(w)
--- a/integration/soak_schedule_test.go
+++ b/integration/soak_schedule_test.go
@@ -29,6 +29,7 @@
 	cutSilent
 	cutRefused
 	lossyNetwork
+	narrowNetwork
 	changeRoutes
 	faultKinds
 )
@@ -38,7 +39,7 @@
 	return [...]string{
 		"kill balancer", "stop balancer", "freeze balancer", "kill agent", "freeze agent", "kill all", "crash target",
 		"replace target", "store busy", "store resets", "store silent", "store loses answers", "store compacted",
-		"store slow", "answers of the store cut", "store silenced", "store refused", "lossy network", "change routes",
+		"store slow", "answers of the store cut", "store silenced", "store refused", "lossy network", "narrow network", "change routes",
 	}[k]
 }
 
@@ -109,6 +110,8 @@
 		return all
 	case lossyNetwork:
 		return []string{"network"}
+	case narrowNetwork:
+		return []string{"network", "store"}
 	case changeRoutes:
 		return []string{"routes"}
 	case storeCompacted:
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/handover"
 	"gentianswitch/internal/opaque/hop"
@@ -14,14 +16,15 @@
 )
 
 const (
-	// catchUpDelay is the time in which a change normally reaches a balancer whose call to the store waits: 4 ms, and a few
-	// hundred when the store is slow. A balancer whose next call is not due (followSpacing) is told by the other one.
+	// catchUpDelay is the time in which a change normally reaches a balancer whose call to the store waits. A balancer whose
+	// next call is not due (followSpacing) is told by the other one.
 	catchUpDelay = 300 * time.Millisecond
-	// seedDelay is the time in which a healthy store tells a balancer that starts all it needs: two calls of 4 ms.
+	// seedDelay is the time in which a healthy store tells a balancer that starts all it needs.
 	seedDelay = 40 * time.Millisecond
-	// seedRetry is the time between two rounds of asking seeds while this balancer cannot forward. Its callers are waiting
-	// meanwhile, and their packets are repeated every 200 ms.
-	seedRetry = 150 * time.Millisecond
+	// firstSeedRetry and lastSeedRetry bound the time between two rounds of asking seeds while this balancer cannot
+	// forward. It grows, since seeds that know nothing yet start like all others, on links that are as narrow.
+	firstSeedRetry = 150 * time.Millisecond
+	lastSeedRetry  = 2 * time.Second
 )
 
 // hasSeen takes the highest configuration version that an agent has heard of, and the balancer that holds it.
@@ -53,16 +56,28 @@
 // askSeeds asks other balancers for their state until this one can forward or ctx ends. The store is asked at the same
 // time; whoever answers first is taken.
 func (f *Forwarder) askSeeds(ctx context.Context) error {
-	for wait := seedDelay; ; wait = seedRetry {
+	ctx, cancel := f.whileUninformed(ctx)
+	defer cancel()
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval, waits.MaxInterval = firstSeedRetry, lastSeedRetry
+	for wait := seedDelay; ctx.Err() == nil; wait = waits.NextBackOff() {
+		sleep(ctx, wait)
+		f.askAllSeeds(ctx)
+	}
+	return nil
+}
+
+// whileUninformed returns a context that ends when this balancer can forward.
+func (f *Forwarder) whileUninformed(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
 		select {
-		case <-ctx.Done():
-			return nil
 		case <-f.informed:
-			return nil
-		case <-time.After(wait):
-			f.askAllSeeds(ctx)
+			cancel()
+		case <-ctx.Done():
 		}
-	}
+	}()
+	return ctx, cancel
 }
 
 // askAllSeeds asks the seeds at the same time, since one that has no power answers nothing.
@@ -80,43 +95,89 @@
 	if ctx.Err() != nil {
 		return
 	}
-	state, err := handover.Fetch(ctx, from)
+	request := handover.Request{Configuration: f.configurationRevision()}
+	state, err := handover.Fetch(ctx, from, request)
 	if err != nil {
-		f.parts.Log.Emit(events.HandoverFailed, events.F("peer", from.String()), events.Err(err))
+		if ctx.Err() == nil {
+			f.handoverFailed(from.String(), err)
+		}
 		return
 	}
 	if state.Configuration.Version > 0 {
-		f.takeConfiguration(decodeItem(state.Configuration), from.String())
-	}
-	for _, target := range state.Targets {
-		f.takeEntry(decodeItem(target))
+		f.takePacked(state.Configuration, from)
 	}
-	if state.IsComplete() {
+	f.takeHandedTargets(state)
+	if state.IsComplete(request) {
 		f.mu.Lock()
-		f.isListed = true
+		f.handedOver = max(f.handedOver, state.At)
 		f.mu.Unlock()
 		f.updateReadiness()
 	}
 }
 
+// takeHandedTargets takes the targets of another balancer's state. Those that it does not hold have left, unless their
+// entries are later than the state.
+func (f *Forwarder) takeHandedTargets(state handover.State) {
+	items := make([]store.Item, 0, len(state.Targets))
+	for _, target := range state.Targets {
+		items = append(items, decodeItem(target))
+	}
+	if len(items) > 0 {
+		f.takeTargets(items, state.At)
+	}
+}
+
+func (f *Forwarder) takePacked(packed handover.Item, from netip.AddrPort) {
+	value, err := handover.Unpack(packed.Value)
+	if err != nil {
+		f.handoverFailed(from.String(), err)
+		return
+	}
+	f.takeConfiguration(store.Item{Key: packed.Key, Value: value, Version: packed.Version}, from.String())
+}
+
+func (f *Forwarder) handoverFailed(peer string, err error) {
+	f.parts.Log.Emit(events.HandoverFailed, events.F("peer", peer), events.Err(err))
+}
+
+func (f *Forwarder) configurationRevision() store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.document.Version
+}
+
 func decodeItem(i handover.Item) store.Item {
 	return store.Item{Key: i.Key, Value: i.Value, Version: i.Version}
 }
 
-// state returns what this balancer knows from the store.
-func (f *Forwarder) state() handover.State {
+// state returns what this balancer knows from the store and the one that asks does not.
+func (f *Forwarder) state(request handover.Request) handover.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state := handover.State{Configuration: handover.Item{
-		Key: f.document.Key, Value: f.document.Value, Version: f.document.Version,
-	}}
+	state := handover.State{At: f.followedTo}
+	if f.document.Version > request.Configuration {
+		state.Configuration = f.packDocument()
+	}
 	for _, t := range f.directory.Targets() {
 		value, err := t.Entry.Encode()
 		if err != nil {
-			f.parts.Log.Emit(events.HandoverFailed, events.F("peer", ipText(t.Agent)), events.Err(err))
+			f.handoverFailed(ipText(t.Agent), err)
 			continue
 		}
 		state.Targets = append(state.Targets, handover.Item{Key: registry.Key(t.Agent), Value: value, Version: t.Revision})
 	}
 	return state
 }
+
+// packDocument returns the configuration in force for another balancer. It is packed once. The caller holds mu.
+func (f *Forwarder) packDocument() handover.Item {
+	if f.packed.Version != f.document.Version {
+		value, err := handover.Pack(f.document.Value)
+		if err != nil {
+			f.handoverFailed(f.settings.Peer.String(), err)
+			return handover.Item{}
+		}
+		f.packed = handover.Item{Key: f.document.Key, Value: value, Version: f.document.Version}
+	}
+	return f.packed
+}
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -45,7 +45,7 @@
 		if isListed {
 			at, err = f.takeChanges(ctx, at)
 		} else {
-			at, err = f.takeAll(ctx)
+			at, err = f.start(ctx)
 			isListed = err == nil
 		}
 		switch {
@@ -56,7 +56,7 @@
 			isLost = false
 			retry.Reset()
 			f.mu.Lock()
-			f.storeHeardAt = time.Now()
+			f.storeHeardAt, f.followedTo = time.Now(), at
 			f.mu.Unlock()
 			sleep(ctx, followSpacing-time.Since(started))
 			continue
@@ -64,6 +64,7 @@
 			return nil
 		case eris.Is(err, store.ErrCompacted):
 			isListed = false
+			f.forgetHandover()
 			continue
 		}
 		if !isLost {
@@ -89,6 +90,38 @@
 	}
 }
 
+// start returns the revision from which changes are followed: that of another balancer's state, where one has been taken, or
+// that of a whole reading of the store. A reading that is under way ends when a state arrives: both share one link.
+func (f *Forwarder) start(ctx context.Context) (store.Version, error) {
+	if at := f.handover(); at > 0 {
+		return at, nil
+	}
+	if f.isReady.Load() {
+		return f.takeAll(ctx)
+	}
+	reading, cancel := f.whileUninformed(ctx)
+	defer cancel()
+	at, err := f.takeAll(reading)
+	if handed := f.handover(); err != nil && handed > 0 {
+		return handed, nil
+	}
+	return at, err
+}
+
+// handover returns the revision of another balancer's state that has been taken, or zero.
+func (f *Forwarder) handover() store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.handedOver
+}
+
+// forgetHandover makes the next start read the store: its history does not reach back to the state that was taken.
+func (f *Forwarder) forgetHandover() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handedOver = 0
+}
+
 // takeAll reads every target and the routes. The routes are read last, so that no change of them is missed from the
 // returned version on.
 func (f *Forwarder) takeAll(ctx context.Context) (store.Version, error) {
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -75,8 +75,12 @@
 	isListed bool
 	// storeHeardAt is when the store has answered last.
 	storeHeardAt time.Time
-	// document is the configuration in force as the store held it.
+	// document is the configuration in force as the store held it, and packed the same for other balancers.
 	document store.Item
+	packed   handover.Item
+	// followedTo is the revision up to which the store's changes are taken, or zero before the store has been read.
+	// handedOver is that of another balancer's state that has been taken.
+	followedTo, handedOver store.Version
 
 	// informed is closed when the routes and the targets are known for the first time.
 	informed chan struct{}
@@ -165,9 +169,8 @@
 	return socket.ServeHTTP(ctx, f.settings.Ready, handler)
 }
 
-// serveHandover answers balancers that cannot read the store until ctx ends.
+// serveHandover answers balancers that ask for the state of this one until ctx ends.
 func (f *Forwarder) serveHandover(ctx context.Context) error {
-	return handover.Serve(ctx, f.settings.Peer, f.state, func(err error) {
-		f.parts.Log.Emit(events.HandoverFailed, events.F("peer", f.settings.Peer.String()), events.Err(err))
-	})
+	server := handover.Server{Current: f.state, Failed: func(err error) { f.handoverFailed(f.settings.Peer.String(), err) }}
+	return server.Run(ctx, f.settings.Peer)
 }
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -1,4 +1,5 @@
-// Package handover lets a balancer that cannot read the store learn the routes and the targets from another balancer.
+// Package handover lets a balancer learn the routes and the targets from another balancer: what the store has told that
+// one, with the revisions of the store, so that nothing older replaces what is known.
 package handover
 
 import (
@@ -10,13 +11,16 @@
 	"github.com/rotisserie/eris"
 
 	"gentianswitch/internal/frame"
+	"gentianswitch/internal/progress"
 	"gentianswitch/internal/store"
 )
 
 const (
-	// timeout bounds an exchange. Peers of a region answer within a few milliseconds; one that is down costs this wait
-	// once before the next is asked.
-	timeout = 400 * time.Millisecond
+	// dialTimeout bounds the opening of a connection to a balancer.
+	dialTimeout = 600 * time.Millisecond
+	// stallTimeout bounds the time without progress of an exchange, and exchangeTimeout the whole of it.
+	stallTimeout    = 600 * time.Millisecond
+	exchangeTimeout = 5 * time.Second
 	// maxExchanges bounds the exchanges that are served at once, so that a fleet that starts in an outage cannot exhaust
 	// the descriptors of those that know.
 	maxExchanges = 32
@@ -24,9 +28,19 @@
 	acceptPause = 50 * time.Millisecond
 )
 
+// Request tells what the balancer that asks holds already.
+type Request struct {
+	// Configuration is the revision of the operators' document that it holds, or zero.
+	Configuration store.Version `msgpack:"configuration"`
+}
+
 // State is what a balancer knows from the store.
 type State struct {
-	// Configuration is the operators' document as the store held it, with version zero when it is not known.
+	// At is the revision whose changes, and those before it, are in the state. It is zero when the balancer does not
+	// know one.
+	At store.Version `msgpack:"at"`
+	// Configuration is the operators' document, its value as Pack returns it. Its version is zero when it is not known, or
+	// not later than that of the request.
 	Configuration Item `msgpack:"configuration"`
 	// Targets are the entries of targets.
 	Targets []Item `msgpack:"targets"`
@@ -39,30 +53,40 @@
 	Version store.Version `msgpack:"version"`
 }
 
-// IsComplete reports whether the state is enough to forward packets.
-func (s *State) IsComplete() bool { return s.Configuration.Version > 0 && len(s.Targets) > 0 }
+// IsComplete reports whether the state, which answers a request, is enough to forward packets.
+func (s *State) IsComplete(r Request) bool {
+	return s.Configuration.Version|r.Configuration > 0 && len(s.Targets) > 0
+}
 
 // Fetch asks the balancer at address for its state.
-func Fetch(ctx context.Context, address netip.AddrPort) (State, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
+func Fetch(ctx context.Context, address netip.AddrPort, request Request) (State, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
 		return State{}, eris.Wrapf(err, "connect to balancer %s", address)
 	}
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return State{}, eris.Wrapf(err, "set a deadline for balancer %s", address)
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	defer func() { _ = raw.Close() }()
+	conn := progress.NewConn(raw, stallTimeout, exchangeTimeout)
+	if err := frame.Write(conn, &request); err != nil {
+		return State{}, eris.Wrapf(err, "ask balancer %s", address)
 	}
 	var state State
 	err = frame.Read(conn, &state)
 	return state, eris.Wrapf(err, "read the state of balancer %s", address)
 }
 
-// Serve answers each connection to address with the state that current returns, until ctx ends. It calls refused for a
-// connection that cannot be accepted.
-func Serve(ctx context.Context, address netip.AddrPort, current func() State, refused func(error)) error {
+// Server answers balancers that ask for the state of this one.
+type Server struct {
+	// Current returns the state for a request.
+	Current func(Request) State
+	// Failed takes the error of an exchange, or of a connection that cannot be accepted.
+	Failed func(error)
+}
+
+// Run serves at address until ctx ends.
+func (s Server) Run(ctx context.Context, address netip.AddrPort) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp4", address.String())
 	if err != nil {
@@ -78,14 +102,14 @@
 		}
 		if err != nil {
 			// Out of descriptors for a moment: those that ask try again, and forwarding must not end for it.
-			refused(eris.Wrapf(err, "accept balancers on %s", address))
+			s.Failed(eris.Wrapf(err, "accept balancers on %s", address))
 			time.Sleep(acceptPause)
 			continue
 		}
 		select {
 		case places <- struct{}{}:
 			go func() {
-				answer(conn, current())
+				s.answer(conn)
 				<-places
 			}()
 		default:
@@ -94,11 +118,16 @@
 	}
 }
 
-// answer sends the state. A peer that does not get it whole asks again, so a failed write needs no word here.
-func answer(conn net.Conn, state State) {
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+func (s Server) answer(raw net.Conn) {
+	defer func() { _ = raw.Close() }()
+	conn := progress.NewConn(raw, stallTimeout, exchangeTimeout)
+	var request Request
+	if err := frame.Read(conn, &request); err != nil {
+		s.Failed(eris.Wrapf(err, "read the request of balancer %s", raw.RemoteAddr()))
 		return
 	}
-	_ = frame.Write(conn, &state)
+	state := s.Current(request)
+	if err := frame.Write(conn, &state); err != nil {
+		s.Failed(eris.Wrapf(err, "answer balancer %s", raw.RemoteAddr()))
+	}
 }
