Two balancers of a group follow the store, the others learn from them

Ruled out: longer waits (CONFIG broke with 20 s), stale reads (what their revision means is not said).

Change: internal/opaque/readers chooses readers by what balancers report to three agents of their group; changes travel by the handover, now with what has changed since a revision.

The directory's bounds on pings are now 2 a second at three meeting points and 1 a second elsewhere, with the same independence of the number of agents; the check that an agent that answers is pinged once a second holds for all others.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -66,6 +66,9 @@
 	HandoverFailed = define(413, logrus.WarnLevel, "handover failed",
 		"Another balancer could not be asked for the routes and targets that it knows.", "peer", "error")
 
+	ReaderChanged = define(414, logrus.InfoLevel, "reader changed",
+		"The balancer begins or ends to follow the store. Else others of its group tell it of changes.", "reading", "revision")
+
 	ReadinessChanged = define(110, logrus.InfoLevel, "readiness changed",
 		"The balancer tells the routers whether it takes packets.", "ready", "reason")
 	LogLinesDropped = define(111, logrus.WarnLevel, "log lines dropped",
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -41,8 +41,9 @@
 	removed map[hop.IP]store.Version
 	view    *View
 	// seed distinguishes the balancer, and zone is its availability zone.
-	seed uint64
-	zone string
+	seed  uint64
+	zone  string
+	group uint32
 	// startedAt is the first moment that the directory knew of. Ping sequences count from it.
 	startedAt time.Time
 	// horizon is the moment at which the latest ping was sent that any agent has answered.
@@ -69,6 +70,15 @@
 	return all
 }
 
+// EachRemoved calls visit for each address whose target was removed after a revision.
+func (d *Directory) EachRemoved(after store.Version, visit func(agent hop.IP, revision store.Version)) {
+	for agent, revision := range d.removed {
+		if revision > after {
+			visit(agent, revision)
+		}
+	}
+}
+
 // Known returns what the balancer knows of the target beside an agent.
 func (d *Directory) Known(agent hop.IP) (Target, bool) {
 	if t := d.targets[agent]; t != nil {
--- a/internal/opaque/directory/reach.go
+++ b/internal/opaque/directory/reach.go
@@ -12,9 +12,11 @@
 	pingInterval = time.Second
 	// usedFor is the time since a packet was sent to an agent for which it is pinged.
 	usedFor = 2 * pingInterval
-	// alwaysPinged is the number of agents that are pinged without a packet as well: a balancer without flows hears of new
-	// configurations by their answers, also when two of them are out of reach.
-	alwaysPinged = 3
+	// meetingPoints is the number of agents that the balancers of a group ping whether they have packets for them or not.
+	// They pass on what the balancers report, also when two of them are out of reach.
+	meetingPoints = 3
+	// meetingInterval is the time between two pings of these.
+	meetingInterval = pingInterval / 2
 	// rarestPing bounds the time between two pings of an agent that has been dead for long.
 	rarestPing = 5 * time.Second
 	// pongTimeout bounds the round trip on a link that is not congested.
@@ -57,19 +59,29 @@
 	missed    int
 	firstMiss time.Time
 	usedAt    time.Time
-	// isAlwaysPinged is set in alwaysPinged of the agents that answer.
-	isAlwaysPinged bool
+	// isMeetingPoint is set in meetingPoints of the agents that answer.
+	isMeetingPoint bool
 }
 
 // isPinged reports whether the balancer wants to know whether the agent answers.
 func (t *Target) isPinged(now time.Time) bool {
-	return t.reach.isAlwaysPinged || t.reach.missed > 0 || t.State != Reachable || now.Sub(t.reach.usedAt) < usedFor
+	return t.reach.isMeetingPoint || t.reach.missed > 0 || t.State != Reachable || now.Sub(t.reach.usedAt) < usedFor
+}
+
+// interval returns the time between two pings that are answered.
+func (r *reach) interval() time.Duration {
+	if r.isMeetingPoint {
+		return meetingInterval
+	}
+	return pingInterval
 }
 
 // Ping is a ping that has to be sent.
 type Ping struct {
 	Agent    hop.IP
 	Sequence uint16
+	// IsMeeting is set when the balancer's group meets at the agent.
+	IsMeeting bool
 }
 
 // Used notes that a packet is sent to an agent, which passes it on to the next candidates when it has to. One of these that
@@ -114,7 +126,7 @@
 		r.isAsked = false
 	}
 	if !r.isAsked {
-		r.nextPing = now.Add(pingInterval)
+		r.nextPing = now.Add(r.interval())
 	}
 	if t.State == Reachable {
 		return Change{}, false
@@ -148,13 +160,13 @@
 func (d *Directory) ask(now time.Time, t *Target) Ping {
 	sequence := d.sequence(now)
 	t.reach.isAsked, t.reach.askedAt = true, d.sentAt(now, sequence)
-	return Ping{Agent: t.Agent, Sequence: sequence}
+	return Ping{Agent: t.Agent, Sequence: sequence, IsMeeting: t.reach.isMeetingPoint}
 }
 
 // askCalm adds a ping of an agent that answers: its answer tells that a missing one is not due to the way.
 func (d *Directory) askCalm(now time.Time, pings []Ping) []Ping {
 	for _, t := range d.targets {
-		if t.reach.isAlwaysPinged && t.reach.missed == 0 && !t.reach.isAsked {
+		if t.reach.isMeetingPoint && t.reach.missed == 0 && !t.reach.isAsked {
 			return append(pings, d.ask(now, t))
 		}
 	}
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -48,7 +48,7 @@
 func (v *View) Len() int { return len(v.agents) }
 
 func (d *Directory) compile() {
-	d.choosePinged()
+	d.chooseMeetingPoints()
 	pools := make(map[desired.ServiceKey]*pool)
 	agents := make(map[hop.IP]Reachability, len(d.targets))
 	for _, t := range d.targets {
@@ -70,21 +70,6 @@
 	d.view = &View{pools: pools, agents: agents}
 }
 
-// choosePinged chooses the agents that are pinged without a packet: other ones for each balancer.
-func (d *Directory) choosePinged() {
-	var buffer [alwaysPinged]scored
-	order := buffer[:0]
-	for _, t := range d.targets {
-		t.reach.isAlwaysPinged = false
-		if t.State == Reachable {
-			order = insert(order, alwaysPinged, scored{agent: t.Agent, score: rendezvous.Score(d.seed, t.seed, 1)})
-		}
-	}
-	for _, c := range order {
-		d.targets[c.agent].reach.isAlwaysPinged = true
-	}
-}
-
 // scored is a candidate and its place in the order for one flow.
 type scored struct {
 	agent     hop.IP
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -27,25 +27,17 @@
 	lastSeedRetry  = 2 * time.Second
 )
 
-// hasSeen takes the highest configuration version that an agent has heard of, and the balancer that holds it.
-func (f *Forwarder) hasSeen(version uint64, holder hop.IP) {
-	if holder == f.self || version <= f.version() {
-		return
-	}
-	f.ahead.TryPut(holder)
-}
-
-// catchUp fetches the state of a balancer that holds a later configuration than this one, until ctx ends.
+// catchUp fetches the state of a balancer that knows more than this one, until ctx ends.
 func (f *Forwarder) catchUp(ctx context.Context) error {
 	for {
-		holder, ok := f.ahead.Get(ctx)
+		next, ok := f.ahead.Get(ctx)
 		if !ok {
 			return nil
 		}
 		before := f.version()
-		sleep(ctx, catchUpDelay)
-		if f.version() == before {
-			f.fetch(ctx, netip.AddrPortFrom(netip.AddrFrom4(holder), f.settings.Peer.Port()))
+		sleep(ctx, next.wait)
+		if next.wait == 0 || f.version() == before {
+			f.fetch(ctx, netip.AddrPortFrom(netip.AddrFrom4(next.holder), f.settings.Peer.Port()))
 		}
 		for ok := true; ok; {
 			_, ok = f.ahead.TryGet()
@@ -95,7 +87,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	request := handover.Request{Configuration: f.configurationRevision()}
+	request := f.request()
 	state, err := handover.Fetch(ctx, from, request)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -109,21 +101,35 @@
 	f.takeHandedTargets(state)
 	if state.IsComplete(request) {
 		f.mu.Lock()
-		f.handedOver = max(f.handedOver, state.At)
+		f.followedTo = max(f.followedTo, state.At)
 		f.mu.Unlock()
 		f.updateReadiness()
 	}
 }
 
-// takeHandedTargets takes the targets of another balancer's state. Those that it does not hold have left, unless their
-// entries are later than the state.
+// request returns what this balancer asks of another one.
+func (f *Forwarder) request() handover.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return handover.Request{Configuration: f.document.Version, After: f.followedTo}
+}
+
+// takeHandedTargets takes the targets of another balancer's state. A whole state ends those that it does not hold, unless
+// their entries are later.
 func (f *Forwarder) takeHandedTargets(state handover.State) {
 	items := make([]store.Item, 0, len(state.Targets))
 	for _, target := range state.Targets {
 		items = append(items, decodeItem(target))
 	}
-	if len(items) > 0 {
-		f.takeTargets(items, state.At)
+	if state.IsWhole && state.At > 0 {
+		f.takeWhole(items, state.At)
+		return
+	}
+	for _, item := range items {
+		f.takeEntry(item)
+	}
+	for _, removed := range state.Removed {
+		f.removeEntry(decodeItem(removed))
 	}
 }
 
@@ -140,12 +146,6 @@
 	f.parts.Log.Emit(events.HandoverFailed, events.F("peer", peer), events.Err(err))
 }
 
-func (f *Forwarder) configurationRevision() store.Version {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.document.Version
-}
-
 func decodeItem(i handover.Item) store.Item {
 	return store.Item{Key: i.Key, Value: i.Value, Version: i.Version}
 }
@@ -154,11 +154,18 @@
 func (f *Forwarder) state(request handover.Request) handover.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state := handover.State{At: f.followedTo}
+	state := handover.State{At: f.followedTo, IsWhole: request.After < f.wholeAt || request.After == 0}
+	after := request.After
+	if state.IsWhole {
+		after = 0
+	}
 	if f.document.Version > request.Configuration {
 		state.Configuration = f.packDocument()
 	}
 	for _, t := range f.directory.Targets() {
+		if t.Revision <= after {
+			continue
+		}
 		value, err := t.Entry.Encode()
 		if err != nil {
 			f.handoverFailed(ipText(t.Agent), err)
@@ -166,6 +173,11 @@
 		}
 		state.Targets = append(state.Targets, handover.Item{Key: registry.Key(t.Agent), Value: value, Version: t.Revision})
 	}
+	if !state.IsWhole {
+		f.directory.EachRemoved(after, func(agent hop.IP, revision store.Version) {
+			state.Removed = append(state.Removed, handover.Item{Key: registry.Key(agent), Version: revision})
+		})
+	}
 	return state
 }
 
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/handover"
 	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/readers"
 	"gentianswitch/internal/opaque/socket"
 	"gentianswitch/internal/opaque/steer"
 	"gentianswitch/internal/ring"
@@ -78,14 +79,25 @@
 	// document is the configuration in force as the store held it, and packed the same for other balancers.
 	document store.Item
 	packed   handover.Item
-	// followedTo is the revision up to which the store's changes are taken, or zero before the store has been read.
-	// handedOver is that of another balancer's state that has been taken.
-	followedTo, handedOver store.Version
+	// followedTo is the revision up to which the store's changes are taken, or zero before its state is known. wholeAt is
+	// that of the last whole state: removals before it may not be known.
+	followedTo, wholeAt store.Version
+	// isStoreLost is set from a failed call to the store until one succeeds.
+	isStoreLost bool
+	// askedAt is when the call to the store that is under way began, or zero.
+	askedAt time.Time
+	// readers decides whether this balancer follows the store. wasServed is whether it did so and was answered at the last
+	// check, announced the revision that the group has been told of.
+	readers   *readers.Choice
+	wasServed bool
+	announced store.Version
 
 	// informed is closed when the routes and the targets are known for the first time.
 	informed chan struct{}
-	// ahead are balancers that hold a later configuration.
-	ahead *ring.Ring[hop.IP]
+	// roleChanged is signalled when the choice of readers has changed.
+	roleChanged chan struct{}
+	// ahead are balancers that know more than this one.
+	ahead *ring.Ring[ahead]
 	// heldReported is the number of dropped held packets in the metrics. Only the duty report uses it.
 	heldReported int64
 	// held are packets that wait for the confirmation that no target holds their flow.
@@ -102,7 +114,7 @@
 		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
 		steer: steer.New(self), directory: directory.New(self, settings.Zone),
 		informed: make(chan struct{}), held: ring.New[heldPacket](maxHeld),
-		ahead: ring.New[hop.IP](1),
+		ahead: ring.New[ahead](1), readers: readers.NewChoice(self), roleChanged: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -125,27 +125,34 @@
 		f.returned(now, h, body, func(p *flow.Packet) steer.Decision { return f.steer.Refused(p, h) })
 	case hop.Located:
 		f.located(now, body, agent, desired.ServiceKey(h.Service))
-	case hop.Pong:
-		f.pong(now, h, body, agent)
+	case hop.Pong, hop.Notice:
+		f.bulletin(now, h, body, agent)
 	default:
 		f.counters.malformed.Inc(1)
 	}
 }
 
-func (f *Forwarder) pong(now time.Time, h *hop.Header, body []byte, agent hop.IP) {
-	seen, err := hop.DecodeSighting(body)
+// bulletin takes what an agent tells, in answer to a ping or by itself.
+func (f *Forwarder) bulletin(now time.Time, h *hop.Header, body []byte, agent hop.IP) {
+	b, err := hop.DecodeBulletin(body)
 	if err != nil {
 		f.counters.malformed.Inc(1)
 		return
 	}
+	if h.Kind == hop.Pong {
+		f.pong(now, agent, h.Sequence)
+	}
+	f.hear(now, agent, b)
+}
+
+func (f *Forwarder) pong(now time.Time, agent hop.IP, sequence uint16) {
 	f.mu.Lock()
-	change, hasChanged := f.directory.Pong(now, agent, h.Sequence)
+	change, hasChanged := f.directory.Pong(now, agent, sequence)
 	f.refresh()
 	f.mu.Unlock()
 	if hasChanged {
 		f.logTarget(change)
 	}
-	f.hasSeen(seen.Version, seen.Holder)
 }
 
 // returned decides anew on a packet that an agent gave back.
@@ -188,6 +195,7 @@
 const checkInterval = 75 * time.Millisecond
 
 func (f *Forwarder) check(now time.Time) {
+	f.keepRole(now)
 	f.mu.Lock()
 	pings, changes := f.directory.Tick(now)
 	f.refresh()
@@ -195,11 +203,15 @@
 	for _, change := range changes {
 		f.logTarget(change)
 	}
-	var buffer [hop.MaxTrailer]byte
-	sighting := hop.Sighting{Version: f.version(), Holder: f.self}
+	var buffer [hop.MaxBulletin]byte
+	meeting, other := f.report(now, true), f.report(now, false)
 	for _, ping := range pings {
+		report := other
+		if ping.IsMeeting {
+			report = meeting
+		}
 		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
-		f.send(ping.Agent, h.Append(sighting.Append(buffer[:0])))
+		f.send(ping.Agent, h.Append(report.Append(buffer[:0])))
 	}
 }
 
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -52,11 +52,11 @@
 
 // reportAll updates the gauges until ctx ends.
 func (f *Forwarder) reportAll(ctx context.Context) error {
-	duty.Every(ctx, reportInterval, f.report)
+	duty.Every(ctx, reportInterval, f.updateGauges)
 	return nil
 }
 
-func (f *Forwarder) report(now time.Time) {
+func (f *Forwarder) updateGauges(now time.Time) {
 	f.counters.configuration.Update(float64(f.version()))
 	f.counters.heldDropped.Inc(int64(f.held.Dropped()) - f.heldReported)
 	f.heldReported = int64(f.held.Dropped())
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -32,6 +32,8 @@
 type Request struct {
 	// Configuration is the revision of the operators' document that it holds, or zero.
 	Configuration store.Version `msgpack:"configuration"`
+	// After is the revision up to which it knows all changes, or zero.
+	After store.Version `msgpack:"after"`
 }
 
 // State is what a balancer knows from the store.
@@ -42,8 +44,11 @@
 	// Configuration is the operators' document, its value as Pack returns it. Its version is zero when it is not known, or
 	// not later than that of the request.
 	Configuration Item `msgpack:"configuration"`
-	// Targets are the entries of targets.
+	// IsWhole is set when Targets are all targets. Else they are those that have changed after the revision of the request,
+	// and Removed those that have left.
+	IsWhole bool   `msgpack:"whole"`
 	Targets []Item `msgpack:"targets"`
+	Removed []Item `msgpack:"removed"`
 }
 
 // Item is an item of the store.
@@ -55,7 +60,7 @@
 
 // IsComplete reports whether the state, which answers a request, is enough to forward packets.
 func (s *State) IsComplete(r Request) bool {
-	return s.Configuration.Version|r.Configuration > 0 && len(s.Targets) > 0
+	return s.At > 0 && s.Configuration.Version|r.Configuration > 0 && (!s.IsWhole || len(s.Targets) > 0)
 }
 
 // Fetch asks the balancer at address for its state.
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -19,12 +19,14 @@
 	Returned
 	// Located tells a balancer which agent holds a flow. Its body is the flow's ID.
 	Located
-	// Ping asks an agent whether it is reachable. Its body is the Sighting of the balancer itself.
+	// Ping asks an agent whether it is reachable. Its body is the Report of the balancer.
 	Ping
-	// Pong answers a Ping. Its body is the highest Sighting that the agent has taken.
+	// Pong answers a Ping. Its body is a Bulletin.
 	Pong
 	// Refused carries a caller's opening back to the balancer: it has waited in vain for room at a target.
 	Refused
+	// Notice tells a balancer of news of its group without a Ping. Its body is a Bulletin.
+	Notice
 )
 
 // MaxCandidates bounds the candidates of a frame, so that a full datagram and its trailer fit an Ethernet frame.
@@ -140,7 +142,7 @@
 	h.IsConfirmed, h.MayBeOpen, h.IsSettled = kind&confirmedBit != 0, kind&mayBeOpenBit != 0, kind&settledBit != 0
 	h.IsCopy = kind&copyBit != 0
 	list := int(h.Count) * addressBytes
-	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Refused {
+	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Notice {
 		return nil, ErrMalformed
 	}
 	body, candidates := body[:len(body)-list], body[len(body)-list:]
--- /dev/null
+++ b/internal/opaque/hop/report.go
@@ -0,0 +1,101 @@
+package hop
+
+import (
+	"encoding/binary"
+	"time"
+)
+
+// Report is what a balancer says of itself in a ping.
+type Report struct {
+	// Sighting is the configuration that the balancer holds.
+	Sighting Sighting
+	// Group is the group of balancers that meets at the agent, or zero when it meets elsewhere.
+	Group uint32
+	// IsReading is set while the balancer follows the store, and the store answers.
+	IsReading bool
+	// Revision is that of the store up to which the balancer has taken all changes.
+	Revision uint64
+}
+
+const reportBytes = sightingBytes + 4 + 1 + 8
+
+// Append appends the encoded report to raw.
+func (r Report) Append(raw []byte) []byte {
+	raw = r.Sighting.Append(raw)
+	raw = binary.BigEndian.AppendUint32(raw, r.Group)
+	reading := byte(0)
+	if r.IsReading {
+		reading = 1
+	}
+	raw = append(raw, reading)
+	return binary.BigEndian.AppendUint64(raw, r.Revision)
+}
+
+// DecodeReport reads what Append wrote.
+func DecodeReport(raw []byte) (Report, error) {
+	if len(raw) != reportBytes {
+		return Report{}, ErrMalformed
+	}
+	sighting, err := DecodeSighting(raw[:sightingBytes])
+	rest := raw[sightingBytes:]
+	return Report{
+		Sighting: sighting, Group: binary.BigEndian.Uint32(rest), IsReading: rest[4] == 1,
+		Revision: binary.BigEndian.Uint64(rest[5:]),
+	}, err
+}
+
+// Reader is a balancer of a group that follows the store.
+type Reader struct {
+	Balancer IP
+	// Age is the time since its last report, to the millisecond.
+	Age      time.Duration
+	Revision uint64
+}
+
+// MaxReaders bounds the readers in a bulletin.
+const MaxReaders = 4
+
+// Bulletin is what an agent tells a balancer.
+type Bulletin struct {
+	// Sighting is that of the highest version that the agent has heard of.
+	Sighting Sighting
+	// Readers are balancers of the group, those with the highest revisions first.
+	Readers []Reader
+}
+
+const readerBytes = addressBytes + 2 + 8
+
+// MaxBulletin is the size of the largest frame with a bulletin.
+const MaxBulletin = fixedBytes + sightingBytes + MaxReaders*readerBytes
+
+// maxAge is the largest age that a bulletin can tell.
+const maxAge = time.Duration(1<<16-1) * time.Millisecond
+
+// Append appends the encoded bulletin to raw.
+func (b Bulletin) Append(raw []byte) []byte {
+	raw = b.Sighting.Append(raw)
+	for _, r := range b.Readers {
+		raw = append(raw, r.Balancer[:]...)
+		raw = binary.BigEndian.AppendUint16(raw, uint16(min(r.Age, maxAge).Milliseconds()))
+		raw = binary.BigEndian.AppendUint64(raw, r.Revision)
+	}
+	return raw
+}
+
+// DecodeBulletin reads what Append wrote.
+func DecodeBulletin(raw []byte) (Bulletin, error) {
+	rest := len(raw) - sightingBytes
+	if rest < 0 || rest%readerBytes != 0 || rest/readerBytes > MaxReaders {
+		return Bulletin{}, ErrMalformed
+	}
+	sighting, err := DecodeSighting(raw[:sightingBytes])
+	b := Bulletin{Sighting: sighting}
+	for list := raw[sightingBytes:]; len(list) > 0; list = list[readerBytes:] {
+		b.Readers = append(b.Readers, Reader{
+			Balancer: IP(list[:addressBytes]),
+			Age:      time.Duration(binary.BigEndian.Uint16(list[addressBytes:])) * time.Millisecond,
+			Revision: binary.BigEndian.Uint64(list[addressBytes+2:]),
+		})
+	}
+	return b, err
+}
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -34,22 +34,6 @@
 	})
 }
 
-// pong answers a balancer, and tells it of the highest configuration version that a balancer has told of. So a balancer
-// that is cut off from the store learns that it is behind, without a message of its own.
-func (s *Sidecar) pong(h *hop.Header, body []byte, to netip.AddrPort) {
-	seen, err := hop.DecodeSighting(body)
-	if err != nil {
-		s.counters.malformed.Inc(1)
-		return
-	}
-	if seen.Version >= s.highest.Version {
-		s.highest = seen
-	}
-	var buffer [hop.MaxTrailer]byte
-	answer := hop.Header{Kind: hop.Pong, Sequence: h.Sequence}
-	s.write(answer.Append(s.highest.Append(buffer[:0])), to)
-}
-
 func (s *Sidecar) fromNode(h *hop.Header, datagram []byte) {
 	p, err := s.parts.Codec.Decode(datagram)
 	if err != nil {
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"gentianswitch/internal/opaque/admission"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/readers"
 	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/internal/opaque/resident"
 	"gentianswitch/internal/opaque/socket"
@@ -73,8 +74,10 @@
 	// changed is signalled when the entry of the target has to be written.
 	changed chan struct{}
 
-	// highest is the highest configuration version that a balancer has told of. Only the duty receive uses it.
+	// highest is the highest configuration version that a balancer has told of, and board what balancers that meet here
+	// report. Only the duty receive uses them.
 	highest hop.Sighting
+	board   *readers.Board
 
 	// mu guards the decisions.
 	mu       sync.Mutex
@@ -92,7 +95,7 @@
 	self := hop.IP(settings.Data.Addr().As4())
 	return &Sidecar{
 		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
-		changed: make(chan struct{}, 1), resident: resident.New(time.Now(), self, settings.Service),
+		changed: make(chan struct{}, 1), board: readers.NewBoard(), resident: resident.New(time.Now(), self, settings.Service),
 	}
 }
 
