gentianctl trail: the lines of one flow over the logs of all processes

Cause: at 300 VMs a flow's lines lie in some of 300 logs, and their times had no milliseconds, so that grep could not put them in order.

--- a/cmd/gentianctl/main.go
+++ b/cmd/gentianctl/main.go
@@ -47,7 +47,7 @@
 		FlagSet:    rootFlags,
 		Subcommands: []*ffcli.Command{
 			validateCommand(), planCommand(), applyCommand(), getCommand(), historyCommand(), statusCommand(),
-			drainCommand(), undrainCommand(),
+			drainCommand(), undrainCommand(), trailCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			if !*isVersion {
--- a/internal/events/logger.go
+++ b/internal/events/logger.go
@@ -46,6 +46,9 @@
 	FormatText = "text"
 )
 
+// timestampFormat has milliseconds, so that the lines of several processes can be put in order.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes lines of at least the given level to out. The format is FormatJSON or
 // FormatText.
 func NewLogger(out io.Writer, format, level string) (*Logger, error) {
@@ -59,7 +62,7 @@
 	switch format {
 	case FormatJSON:
 		// Flows are written as caller>address; operators search for them as they are.
-		l.SetFormatter(&logrus.JSONFormatter{DisableHTMLEscape: true})
+		l.SetFormatter(&logrus.JSONFormatter{DisableHTMLEscape: true, TimestampFormat: timestampFormat})
 	case FormatText:
 		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	default:
