A packet of an open flow is offered to the targets that can hold it

Ruled out: a bound by time (balancers restart and clocks jump), a table of flows.

Change: an entry carries the revision since which its target has been there; the writer keeps it while the target stays.

--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -1,9 +1,13 @@
 package directory
 
 import (
+	"cmp"
+	"slices"
+
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/rendezvous"
+	"gentianswitch/internal/store"
 )
 
 // View is an immutable state of the directory, arranged for decisions on packets.
@@ -12,9 +16,11 @@
 	agents map[hop.IP]Reachability
 }
 
-// pool holds the targets of a service, in an order without meaning.
+// pool holds the targets of a service, in the order in which they have joined.
 type pool struct {
 	candidates []Candidate
+	// zones are the availability zones of the candidates.
+	zones []string
 	// silent is the number of candidates that do not answer.
 	silent int
 }
@@ -28,9 +34,12 @@
 	Slots, Weight float64
 	IsDraining    bool
 	State         Reachability
+	// joined is the revision since which the target has been there, zone the place of its availability zone in the pool.
+	joined store.Version
+	zone   int
 }
 
-// Pool returns the targets of a service, in an order without meaning.
+// Pool returns the targets of a service, in the order in which they have joined.
 func (v *View) Pool(service desired.ServiceKey) []Candidate {
 	if p := v.pools[service]; p != nil {
 		return p.candidates
@@ -65,11 +74,24 @@
 		p.candidates = append(p.candidates, Candidate{
 			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Slots: slots, Weight: slots * preference(d.zone, t.Entry.Zone),
 			IsDraining: t.Entry.IsDraining, State: t.State,
+			joined: t.Entry.JoinedAt(t.Revision), zone: p.zoneOf(t.Entry.Zone),
 		})
 	}
+	for _, p := range pools {
+		slices.SortFunc(p.candidates, func(a, b Candidate) int { return cmp.Compare(a.joined, b.joined) })
+	}
 	d.view = &View{pools: pools, agents: agents}
 }
 
+// zoneOf returns the place of an availability zone in the pool.
+func (p *pool) zoneOf(zone string) int {
+	if at := slices.Index(p.zones, zone); at >= 0 {
+		return at
+	}
+	p.zones = append(p.zones, zone)
+	return len(p.zones) - 1
+}
+
 // scored is a candidate and its place in the order for one flow.
 type scored struct {
 	agent     hop.IP
@@ -91,14 +113,8 @@
 	RepeatedOpening
 )
 
-// Places of a flow in the order of its candidates.
-const (
-	// placedAmong is the number of first candidates, whatever their state, among which a flow is placed: one frame.
-	placedAmong = hop.MaxCandidates
-	// searchedAmong is the number of first candidates among which a flow is looked for at agents that do not answer. It
-	// is above placedAmong, since targets that are added move others back.
-	searchedAmong = 2 * placedAmong
-)
+// placedAmong is the number of first candidates, whatever their state, among which a flow is placed: one frame.
+const placedAmong = hop.MaxCandidates
 
 // Tiers of candidates after those that answer; the Reachability of the others is theirs.
 const (
@@ -155,41 +171,6 @@
 	return order
 }
 
-// search returns the first wanted candidates for a packet of a flow that may be open, and how many there are in all. An
-// agent that does not answer may hold the flow when it is near: its silence must not end the walk. A packet sent there is
-// lost when its VM is gone, so that those which cannot hold the flow are left out.
-func (p *pool) search(flow uint64, wanted int, order []scored) ([]scored, int) {
-	total := 0
-	for i := range p.candidates {
-		c := &p.candidates[i]
-		if c.State != Reachable && !p.isNear(c, flow) {
-			continue
-		}
-		total++
-		order = insert(order, wanted, scored{
-			agent: c.Agent, score: rendezvous.Score(flow, c.Seed, c.Weight), tier: uint8(c.State),
-		})
-	}
-	return order, total
-}
-
-// isNear reports whether a candidate is among the first searchedAmong for the balancers of its own zone, where it stands
-// before its places for others.
-func (p *pool) isNear(c *Candidate, flow uint64) bool {
-	score := rendezvous.Score(flow, c.Seed, c.Slots*localPreference)
-	ahead := 0
-	for i := range p.candidates {
-		other := &p.candidates[i]
-		if rendezvous.Score(flow, other.Seed, other.Slots*preference(c.Zone, other.Zone)) <= score {
-			continue
-		}
-		if ahead++; ahead == searchedAmong {
-			return false
-		}
-	}
-	return true
-}
-
 // Passed returns the first candidate of a flow when it does not answer, so that the order passes it over.
 func (v *View) Passed(service desired.ServiceKey, flow uint64) (hop.IP, bool) {
 	p := v.pools[service]
@@ -209,6 +190,9 @@
 
 // insert puts a candidate in its place in the order, unless it is behind all that are wanted.
 func insert(order []scored, wanted int, c scored) []scored {
+	if wanted == 0 {
+		return order
+	}
 	if len(order) == wanted {
 		if compareScored(order[wanted-1], c) <= 0 {
 			return order
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -11,6 +11,7 @@
 
 	"gentianswitch/internal/frame"
 	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/store"
 )
 
 // Prefix starts the key of every entry; the agent's address follows.
@@ -27,6 +28,22 @@
 	IsDraining bool `msgpack:"draining"`
 	// HasLeft is set when the target has ended by plan and holds no flow any more.
 	HasLeft bool `msgpack:"left"`
+	// Joined is the revision of the store since which the target has been there, or zero when it is that of this entry.
+	Joined uint64 `msgpack:"joined,omitempty"`
+}
+
+// JoinedAt returns the revision since which the target of the entry, which has a revision, has been there.
+func (e Entry) JoinedAt(revision store.Version) store.Version {
+	if e.Joined > 0 {
+		return store.Version(e.Joined)
+	}
+	return revision
+}
+
+// isAsWanted reports whether the entry says what is wanted. The wanted one does not tell since when.
+func (e Entry) isAsWanted(wanted Entry) bool {
+	e.Joined = wanted.Joined
+	return e == wanted
 }
 
 // Key returns the key of the entry of the agent at ip.
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"bytes"
 	"time"
 
 	"gentianswitch/internal/store"
@@ -29,7 +28,9 @@
 //
 // A new process assumes at first that the entry does not exist: where it does, the refused write tells its revision.
 type Writer struct {
-	desired, stored []byte
+	// desired is what the store has to hold, or the zero Entry. stored is what it holds, or the zero Entry when there is
+	// none that can be read.
+	desired, stored Entry
 	revision        store.Version
 	// isUncertain is set after a call whose outcome is not known.
 	isUncertain bool
@@ -37,12 +38,12 @@
 	notBefore   time.Time
 }
 
-// Want sets the value that the store has to hold.
-func (w *Writer) Want(value []byte) { w.desired = value }
+// Want sets what the store has to hold.
+func (w *Writer) Want(e Entry) { w.desired = e }
 
-// IsSettled reports whether the store holds the wanted value as far as is known.
+// IsSettled reports whether the store holds what is wanted as far as is known.
 func (w *Writer) IsSettled() bool {
-	return w.desired == nil || !w.isUncertain && bytes.Equal(w.desired, w.stored)
+	return w.desired == Entry{} || !w.isUncertain && w.stored.isAsWanted(w.desired)
 }
 
 // Next returns the call that is due, or Rest and the time until one may be.
@@ -59,17 +60,31 @@
 	}
 }
 
-// Value returns the value to write and the revision that it replaces.
-func (w *Writer) Value() ([]byte, store.Version) { return w.desired, w.revision }
+// Entry returns the entry to write and the revision that it replaces. A target that stays keeps the revision since which it
+// has been there.
+func (w *Writer) Entry() (Entry, store.Version) {
+	e := w.desired
+	if stays := !e.HasLeft && !w.stored.HasLeft && w.stored.Service == e.Service; stays {
+		e.Joined = uint64(w.stored.JoinedAt(w.revision))
+	}
+	return e, w.revision
+}
 
-// Found takes the result of a read, or of a write that was refused since the entry has another revision. A revision of
-// zero means that the entry does not exist.
-func (w *Writer) Found(value []byte, revision store.Version) {
-	w.stored, w.revision, w.isUncertain, w.failures = value, revision, false, 0
+// Found takes the value that a read has found, or that has refused a write by its revision. A revision of zero means that
+// there is none. A value that cannot be read is replaced.
+func (w *Writer) Found(value []byte, revision store.Version) error {
+	e, err := Decode(value)
+	if revision == 0 {
+		err = nil
+	}
+	w.Written(e, revision)
+	return err
 }
 
-// Written takes the result of a write that succeeded.
-func (w *Writer) Written(value []byte, revision store.Version) { w.Found(value, revision) }
+// Written takes the entry that the store holds at a revision.
+func (w *Writer) Written(e Entry, revision store.Version) {
+	w.stored, w.revision, w.isUncertain, w.failures = e, revision, false, 0
+}
 
 // Failed takes a call whose outcome is not known. The entry is read again before it is written.
 func (w *Writer) Failed(now time.Time) {
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -25,7 +25,7 @@
 	if !outcome.IsStale {
 		s.heardAt = time.Now()
 	}
-	err := s.announce(outcome.HasChanged)
+	s.announce(outcome.HasChanged)
 	s.mu.Unlock()
 	if outcome.IsStale {
 		s.Malformed(h.Instance, eris.Errorf("sequence %d of the incarnation started at %d was overtaken", h.Sequence, h.Started))
@@ -37,7 +37,7 @@
 			events.F("draining", h.IsDraining))
 	}
 	s.resetAll(h.Instance, outcome)
-	return err
+	return nil
 }
 
 // watchTarget looks for signs of the target until ctx ends.
@@ -45,12 +45,9 @@
 	duty.Every(ctx, s.settings.Heartbeat/resident.TicksPerHeartbeat, func(now time.Time) {
 		s.mu.Lock()
 		outcome := s.resident.Tick()
-		err := s.announce(outcome.HasChanged)
+		s.announce(outcome.HasChanged)
 		heardAt := s.heardAt
 		s.mu.Unlock()
-		if err != nil {
-			s.Malformed(outcome.Former, err)
-		}
 		if outcome.HasChanged {
 			s.parts.Log.Emit(events.TargetSilent, events.F("instance", outcome.Former), events.F("flows", len(outcome.Ended)),
 				events.Age("heartbeat_ms", now, heardAt))
@@ -70,11 +67,8 @@
 func (s *Sidecar) Leave(instance string) {
 	s.mu.Lock()
 	isTarget := s.resident.Leave(instance)
-	err := s.announce(isTarget)
+	s.announce(isTarget)
 	s.mu.Unlock()
-	if err != nil {
-		s.Malformed(instance, err)
-	}
 	if isTarget {
 		s.parts.Log.Emit(events.TargetLeft, events.F("instance", instance))
 	}
@@ -86,24 +80,19 @@
 }
 
 // announce gives the target's entry to the writer. The caller holds mu.
-func (s *Sidecar) announce(hasChanged bool) error {
+func (s *Sidecar) announce(hasChanged bool) {
 	if !hasChanged {
-		return nil
+		return
 	}
 	entry := s.resident.Entry()
 	if entry == (registry.Entry{}) {
-		return nil
-	}
-	value, err := entry.Encode()
-	if err != nil {
-		return err
+		return
 	}
-	s.writer.Want(value)
+	s.writer.Want(entry)
 	select {
 	case s.changed <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // resetAll tells the callers of flows that ended with their target. The instance that has taken its place may be empty.
@@ -155,13 +144,13 @@
 func (s *Sidecar) stepEntry(ctx context.Context) {
 	s.mu.Lock()
 	step, wait := s.writer.Next(time.Now())
-	value, revision := s.writer.Value()
+	entry, revision := s.writer.Entry()
 	s.mu.Unlock()
 	switch step {
 	case registry.Read:
 		s.readEntry(ctx)
 	case registry.Write:
-		s.writeEntry(ctx, value, revision)
+		s.writeEntry(ctx, entry, revision)
 	case registry.Rest:
 		s.rest(ctx, wait)
 	}
@@ -189,28 +178,38 @@
 	switch {
 	case err == nil:
 		s.heardOfStore()
-		s.writer.Found(item.Value, item.Version)
+		s.found(item)
 	case eris.Is(err, store.ErrNotFound):
 		s.heardOfStore()
-		s.writer.Found(nil, 0)
+		s.found(store.Item{})
 	default:
 		s.failed(err, "read entry")
 	}
 }
 
-func (s *Sidecar) writeEntry(ctx context.Context, value []byte, revision store.Version) {
-	item, err := s.parts.Store.Replace(ctx, registry.Key(s.self), revision, value)
+// found takes the entry that the store holds. The caller holds mu.
+func (s *Sidecar) found(item store.Item) {
+	if err := s.writer.Found(item.Value, item.Version); err != nil {
+		s.parts.Log.Emit(events.TargetEntryRefused, events.F("key", item.Key), events.F("revision", item.Version), events.Err(err))
+	}
+}
+
+func (s *Sidecar) writeEntry(ctx context.Context, entry registry.Entry, revision store.Version) {
+	value, err := entry.Encode()
+	var item store.Item
+	if err == nil {
+		item, err = s.parts.Store.Replace(ctx, registry.Key(s.self), revision, value)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case err == nil:
 		s.heardOfStore()
-		s.writer.Written(item.Value, item.Version)
-		entry := s.resident.Entry()
+		s.writer.Written(entry, item.Version)
 		s.parts.Log.Emit(events.EntryWritten, events.F("revision", item.Version),
 			events.F("draining", entry.IsDraining), events.F("left", entry.HasLeft))
 	case eris.Is(err, store.ErrConflict) && item.Version != revision:
-		s.writer.Found(item.Value, item.Version)
+		s.found(item)
 	default:
 		s.failed(err, "write entry")
 	}
