One small read tells a group that no target is missing

Cause: an ended flow is reset after a confirmation with the store, which was a list of all targets, at least 50 to 400 ms after the one before. Ruled out: the walk (40 ms).

Change: entries are written together with one key; its revision tells whether the view is whole. A reader reads it for its group every 30 ms at most, balancers ask by datagram. The list remains for the case that something has changed.

--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -83,6 +83,7 @@
 	asked.Wait()
 }
 
+// fetch takes the state of another balancer.
 func (f *Forwarder) fetch(ctx context.Context, from netip.AddrPort) {
 	if ctx.Err() != nil {
 		return
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/semaphore"
 
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
@@ -27,6 +28,9 @@
 	"gentianswitch/internal/store"
 )
 
+// maxAsking bounds the balancers that wait for a reading of this one at a time: those of a group.
+const maxAsking = 256
+
 // Settings are what a forwarder needs to know of its VM.
 type Settings struct {
 	Zone string
@@ -103,6 +107,14 @@
 	// held are packets that wait for the confirmation that no target holds their flow.
 	held *ring.Ring[heldPacket]
 
+	// changes are the readings of the last change of the targets, for this balancer and its group. maxAsking bounds the
+	// balancers that wait for one.
+	changes rounds[store.Version]
+	asking  *semaphore.Weighted
+	// told are the answers of readers, asked the sequence of the last question. Only the duty confirm uses asked.
+	told  *ring.Ring[told]
+	asked uint16
+
 	isStopping atomic.Bool
 	isReady    atomic.Bool
 }
@@ -110,12 +122,15 @@
 // New returns a forwarder that does not run yet.
 func New(settings Settings, parts Parts) *Forwarder {
 	self := hop.IP(settings.Data.Addr().As4())
-	return &Forwarder{
+	f := &Forwarder{
 		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
 		steer: steer.New(self), directory: directory.New(self, settings.Zone),
 		informed: make(chan struct{}), held: ring.New[heldPacket](maxHeld),
 		ahead: ring.New[ahead](1), readers: readers.NewChoice(self), roleChanged: make(chan struct{}, 1),
 	}
+	f.changes.read, f.changes.spacing = f.readChanges, confirmSpacing
+	f.asking, f.told = semaphore.NewWeighted(maxAsking), ring.New[told](1)
+	return f
 }
 
 // Run forwards packets until stopping ends, and for the linger time after it.
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -125,6 +125,10 @@
 		f.returned(now, h, body, func(p *flow.Packet) steer.Decision { return f.steer.Refused(p, h) })
 	case hop.Located:
 		f.located(now, body, agent, desired.ServiceKey(h.Service))
+	case hop.Ask:
+		f.answerAsk(h.Sequence, agent)
+	case hop.Told:
+		f.takeTold(h.Sequence, body)
 	case hop.Pong, hop.Notice:
 		f.bulletin(now, h, body, agent)
 	default:
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -27,6 +27,10 @@
 	Refused
 	// Notice tells a balancer of news of its group without a Ping. Its body is a Bulletin.
 	Notice
+	// Ask asks a reader for the revision of the last change of the targets. It has no body.
+	Ask
+	// Told answers an Ask. Its body is the revision.
+	Told
 )
 
 // MaxCandidates bounds the candidates of a frame, so that a full datagram and its trailer fit an Ethernet frame.
@@ -142,7 +146,7 @@
 	h.IsConfirmed, h.MayBeOpen, h.IsSettled = kind&confirmedBit != 0, kind&mayBeOpenBit != 0, kind&settledBit != 0
 	h.IsCopy = kind&copyBit != 0
 	list := int(h.Count) * addressBytes
-	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Notice {
+	if h.Count > MaxCandidates || len(body) < list || h.Kind < Forward || h.Kind > Told {
 		return nil, ErrMalformed
 	}
 	body, candidates := body[:len(body)-list], body[len(body)-list:]
--- a/internal/opaque/hop/hop_test.go
+++ b/internal/opaque/hop/hop_test.go
@@ -53,7 +53,7 @@
 	tooMany := append([]byte(nil), whole...)
 	tooMany[len(tooMany)-2] = hop.MaxCandidates + 1
 	unknown := append([]byte(nil), whole...)
-	unknown[len(unknown)-1] = byte(hop.Notice) + 1
+	unknown[len(unknown)-1] = byte(hop.Told) + 1
 	for name, raw := range map[string][]byte{
 		"empty": nil, "short": whole[len(whole)-5:], "without its candidates": whole[len(whole)-29:],
 		"too many candidates": tooMany, "unknown kind": unknown,
--- a/internal/opaque/readers/choice.go
+++ b/internal/opaque/readers/choice.go
@@ -110,6 +110,22 @@
 	return others, better
 }
 
+// Reader returns a reader other than this balancer. The balancers of a group spread over its readers.
+func (c *Choice) Reader(now time.Time) (hop.IP, bool) {
+	var best hop.IP
+	nearest, isFound := uint64(0), false
+	for _, b := range c.told {
+		for _, r := range b.readers {
+			distance := rankOf(r.Balancer) ^ c.rank
+			if r.Balancer == c.self || now.Sub(b.at)+r.Age > freshFor || isFound && distance >= nearest {
+				continue
+			}
+			best, nearest, isFound = r.Balancer, distance, true
+		}
+	}
+	return best, isFound
+}
+
 // Ahead returns the reader with the highest revision above the given one.
 func (c *Choice) Ahead(revision uint64) (hop.IP, bool) {
 	var best hop.IP
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -17,6 +17,9 @@
 // Prefix starts the key of every entry; the agent's address follows.
 const Prefix = "gentian/targets/"
 
+// ChangesKey is the key that is written with each entry. Its version is that of the last change of any entry.
+const ChangesKey = "gentian/changes"
+
 // Entry is what the store holds of one target. It has no lease: it outlives outages of the store and losses of power,
 // and balancers judge by themselves whether its agent is reachable.
 type Entry struct {
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -198,7 +198,7 @@
 	value, err := entry.Encode()
 	var item store.Item
 	if err == nil {
-		item, err = s.parts.Store.Replace(ctx, registry.Key(s.self), revision, value)
+		item, err = s.parts.Store.Replace(ctx, registry.Key(s.self), revision, value, registry.ChangesKey)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -36,7 +36,7 @@
 	// Follow waits for at most wait for changes after a version. It returns them in order, and the version to go on
 	// from, or ErrCompacted.
 	Follow(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Change, Version, error)
-	// Replace writes a value if the key has the given version, zero for a key that does not exist. With ErrConflict it
-	// returns the item as it is.
-	Replace(ctx context.Context, key string, version Version, value []byte) (Item, error)
+	// Replace writes a value if the key has the given version, zero for a key that does not exist, and writes the key mark
+	// with it, whose version tells when a key was last replaced. With ErrConflict it returns the item as it is.
+	Replace(ctx context.Context, key string, version Version, value []byte, mark string) (Item, error)
 }
