--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -1,6 +1,7 @@
 package trail_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -24,7 +25,7 @@
 	agent, err := trail.Read(flow, "side-9", strings.NewReader(
 		`{"event":217,"flow":"`+flow+`","former":"i-1","msg":"opaque flow ended with its target","time":"2026-12-04T09:00:01.5Z"}`))
 	g.Expect(err).NotTo(HaveOccurred())
-	all := append(balancer, agent...)
+	all := slices.Concat(balancer, agent)
 	trail.Sort(all)
 	var messages []string
 	for _, line := range all {
