Agents that are gone, told by the answers of others; one reader is asked

Targets that drained when the power went did not come back. Ruled out: slow walks (they end in 0.1 s by then).

Change: an agent is gone after 4 s without an answer, while nine of ten pings of others are answered in time and at most a third of the agents are silent; after 2 s when it was never heard and most agents have just started (pongs carry their uptime). Taken back as soon as the way is bad.

--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -65,7 +65,7 @@
 	{Balancer, "opaque_located", Counter, "", "hints", "Hints of agents that hold a flow behind its first candidate."},
 	{Balancer, "opaque_held_dropped", Counter, "", "packets", "Packets that found no place among those that wait for a confirmation."},
 	{Balancer, "opaque_configuration", Gauge, "", "version", "Version of the operators' configuration in force."},
-	{Balancer, "opaque_targets", Gauge, "state", "targets", "Known targets by the state of their agent: reachable, suspect, dead."},
+	{Balancer, "opaque_targets", Gauge, "state", "targets", "Known targets by the state of their agent: reachable, suspect, dead, gone."},
 	{Balancer, "opaque_store_age", Gauge, "", "seconds", "Time since the last answer of the store."},
 	{Balancer, "opaque_walk", Histogram, "", "candidates", "Candidates that had declined a packet when it came back to the balancer."},
 	{Balancer, "store_calls", Counter, "call, outcome", "calls", "Calls to the platform's store: read, list, follow, replace; ok or failed."},
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -48,13 +48,19 @@
 	startedAt time.Time
 	// horizon is the moment at which the latest ping was sent that any agent has answered.
 	horizon time.Time
+	// way is the share of the recent pings of agents that answer which has been answered in time. isWayGood is whether
+	// silence may mean that an agent is gone.
+	way       float64
+	isWayGood bool
+	// isCommonStart is set while most agents that answer have just started.
+	isCommonStart bool
 }
 
 // New returns an empty directory of the balancer at the address self, in an availability zone.
 func New(self hop.IP, zone string) *Directory {
 	return &Directory{
 		seed: xxhash.Sum64(self[:]), zone: zone, targets: make(map[hop.IP]*Target),
-		removed: make(map[hop.IP]store.Version), view: &View{},
+		removed: make(map[hop.IP]store.Version), view: &View{}, way: 1,
 	}
 }
 
--- a/internal/opaque/directory/reach.go
+++ b/internal/opaque/directory/reach.go
@@ -28,6 +28,27 @@
 	deadAfter = 2 * time.Second
 	// deadMisses is the number of unanswered pings in a row that an agent needs besides to be dead.
 	deadMisses = 6
+	// goneAfter is the time without an answer after which an agent no longer ends the walks of open flows, when the way of
+	// the others' answers is good. It is above the pauses of a VM that stands still and the outages of a link that callers
+	// wait for.
+	goneAfter = 4 * time.Second
+	// After a common start, when most of the agents that answer have run for less than commonStart, VMs have lost power
+	// together. Then an agent that has not answered at all is gone after unheardGoneAfter.
+	commonStart      = 10 * time.Second
+	unheardGoneAfter = 2 * time.Second
+	mostStarted      = 2.0 / 3
+	// goneMisses is the number of unanswered pings in a row that an agent needs besides. With goodWay a living one has
+	// one chance in a billion to leave as many unanswered.
+	goneMisses = 9
+	// goodWay is the share of the recent pings of agents that answer which has been answered in time, from which on the
+	// way is good. waySamples is the number of pings over which it is averaged.
+	goodWay    = 0.9
+	waySamples = 20
+	// mostSilent is the share of the agents asked up to which those that do not answer may be gone: where more are silent,
+	// the way itself is in doubt.
+	mostSilent = 1.0 / 3
+	// heardWithin is the time since its last answer for which an agent counts as answering.
+	heardWithin = 2 * pingInterval
 	// sequenceUnit is the unit of ping sequences, which tell when a ping was sent. They repeat after 655 s.
 	sequenceUnit = 10 * time.Millisecond
 )
@@ -43,11 +64,14 @@
 	Suspect
 	// Dead agents have not answered for so long that they get no new flows. The flows that they hold may live.
 	Dead
+	// Gone agents have not answered for longer than callers wait, while the answers of others came in time. No flow is
+	// looked for there.
+	Gone
 )
 
 // String returns the name that logs use.
 func (r Reachability) String() string {
-	return [...]string{"reachable", "suspect", "dead"}[r]
+	return [...]string{"reachable", "suspect", "dead", "gone"}[r]
 }
 
 // reach is the state of the check of one agent.
@@ -59,6 +83,8 @@
 	missed    int
 	firstMiss time.Time
 	usedAt    time.Time
+	// startedAt is when the agent has started, as far as it has told.
+	startedAt time.Time
 	// isMeetingPoint is set in meetingPoints of the agents that answer.
 	isMeetingPoint bool
 }
@@ -121,6 +147,9 @@
 		d.horizon = sentAt
 	}
 	r := &t.reach
+	if t.State == Reachable && now.Sub(sentAt) < pongTimeout {
+		d.sampleWay(1)
+	}
 	r.missed = 0
 	if r.isAsked && !sentAt.Before(r.askedAt) {
 		r.isAsked = false
@@ -138,6 +167,9 @@
 
 // Tick counts pings that were not answered in time and returns the pings to send.
 func (d *Directory) Tick(now time.Time) (pings []Ping, changes []Change) {
+	if d.isWayGood = d.judgeWay(now); !d.isWayGood {
+		changes = d.doubtGone()
+	}
 	hasCalm, hasDoubtful := false, false
 	for _, t := range d.targets {
 		if change, ok := d.checkAnswer(now, t); ok {
@@ -185,10 +217,14 @@
 		return d.miss(now, t)
 	case waited >= pingInterval:
 		r.isAsked, r.nextPing = false, now
+		d.sampleWay(0)
 	}
 	return Change{}, false
 }
 
+// sampleWay takes the outcome of a ping of an agent that answers: 1 for an answer in time, else 0.
+func (d *Directory) sampleWay(outcome float64) { d.way += (outcome - d.way) / waySamples }
+
 func (d *Directory) miss(now time.Time, t *Target) (Change, bool) {
 	r := &t.reach
 	r.isAsked, r.nextPing = false, now
@@ -196,11 +232,18 @@
 		r.firstMiss = r.askedAt
 	}
 	r.missed++
+	if t.State == Reachable {
+		d.sampleWay(0)
+	}
 	state := t.State
+	silence := now.Sub(r.firstMiss)
 	switch {
-	case now.Sub(r.firstMiss) >= deadAfter && r.missed >= deadMisses:
-		state = Dead
-		r.nextPing = now.Add(min(max(now.Sub(r.firstMiss)/4, pingInterval), rarestPing))
+	case d.isGone(t, silence):
+		state = Gone
+		r.nextPing = now.Add(min(max(silence/8, pingInterval), rarestPing))
+	case silence >= deadAfter && r.missed >= deadMisses:
+		state = max(state, Dead)
+		r.nextPing = now.Add(min((silence-deadAfter)/4, rarestPing))
 	case r.missed >= suspectAfter:
 		state = max(state, Suspect)
 	}
@@ -212,6 +255,56 @@
 	return Change{Target: *t, Reason: "no pong"}, true
 }
 
+// Started notes when an agent has started.
+func (d *Directory) Started(agent hop.IP, at time.Time) {
+	if t := d.targets[agent]; t != nil {
+		t.reach.startedAt = at
+	}
+}
+
+// judgeWay reports whether the way of answers is good: those of agents that answer come in time, and few agents are silent.
+// It notes whether most of these have just started.
+func (d *Directory) judgeWay(now time.Time) bool {
+	answering, silent, started := 0, 0, 0
+	for _, t := range d.targets {
+		switch {
+		case t.State == Gone:
+		case t.State != Reachable:
+			silent++
+		case !t.AnsweredAt.IsZero() && now.Sub(t.AnsweredAt) <= heardWithin:
+			answering++
+			if now.Sub(t.reach.startedAt) < commonStart {
+				started++
+			}
+		}
+	}
+	d.isCommonStart = answering > 0 && float64(started) >= mostStarted*float64(answering)
+	return d.way >= goodWay && float64(silent) <= mostSilent*float64(silent+answering)
+}
+
+// doubtGone takes back that agents are gone: one that is back might not be heard.
+func (d *Directory) doubtGone() (changes []Change) {
+	for _, t := range d.targets {
+		if t.State == Gone {
+			t.State = Dead
+			changes = append(changes, Change{Target: *t, Reason: "answers are late"})
+		}
+	}
+	if len(changes) > 0 {
+		d.compile()
+	}
+	return changes
+}
+
+// isGone reports whether an agent that has been silent for a time is gone.
+func (d *Directory) isGone(t *Target, silence time.Duration) bool {
+	limit := goneAfter
+	if t.AnsweredAt.IsZero() && d.isCommonStart {
+		limit = unheardGoneAfter
+	}
+	return t.State == Gone || silence >= limit && t.reach.missed >= goneMisses && d.isWayGood
+}
+
 // sequence returns the sequence of a ping that is sent now.
 func (d *Directory) sequence(now time.Time) uint16 {
 	if d.startedAt.IsZero() {
--- a/internal/opaque/directory/search.go
+++ b/internal/opaque/directory/search.go
@@ -22,7 +22,7 @@
 // hold the flow. Of all targets this leaves searchedAmong and a number that rises with the logarithm of theirs.
 //
 // An agent that does not answer may hold the flow when it is near: its silence must not end the walk. A packet sent there is
-// lost when its VM is gone, so that those which are far down today's order are left out.
+// lost when its VM is gone, so that those which are far down today's order, and those known to be gone, are left out.
 func (p *pool) search(flow uint64, wanted int, order []scored) ([]scored, int) {
 	total := 0
 	var earlier [maxRankedZones]leaders
@@ -33,7 +33,7 @@
 		for zone := range min(len(p.zones), maxRankedZones) {
 			earlier[zone].add(score * preference(p.zones[zone], c.Zone))
 		}
-		if !mayHold || c.State != Reachable && !p.isNear(c, flow) {
+		if !mayHold || c.State == Gone || c.State != Reachable && !p.isNear(c, flow) {
 			continue
 		}
 		total++
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -156,7 +156,7 @@
 	}
 	for _, s := range first {
 		c := s.candidate
-		if to == NewFlow && (c.IsDraining || c.State == Dead) {
+		if c.State == Gone || to == NewFlow && (c.IsDraining || c.State == Dead) {
 			continue
 		}
 		s.agent, s.tier = c.Agent, uint8(c.State)
@@ -185,7 +185,7 @@
 			first, top = c, score
 		}
 	}
-	return first.Agent, first.State != Reachable
+	return first.Agent, first.State == Suspect || first.State == Dead
 }
 
 // insert puts a candidate in its place in the order, unless it is behind all that are wanted.
--- a/internal/opaque/forwarder/confirm.go
+++ b/internal/opaque/forwarder/confirm.go
@@ -20,7 +20,7 @@
 	maxHeld = 512
 	// confirmSpacing is the least time between two confirmations of a balancer, and between two readings of a reader for
 	// its group: well below the 200 ms after which callers repeat packets.
-	confirmSpacing = 30 * time.Millisecond
+	confirmSpacing = 60 * time.Millisecond
 	// askTimeout is the time for which a balancer waits for a reader: a reading that waits for the one before, and a call
 	// to a healthy store.
 	askTimeout = 100 * time.Millisecond
@@ -96,10 +96,9 @@
 // store.
 func (f *Forwarder) latestChange(ctx context.Context) (store.Version, error) {
 	f.mu.Lock()
-	reader, hasReader := f.readers.Reader(time.Now())
-	isReading := f.isServed(time.Now())
+	reader, isOther := f.readers.First(time.Now(), f.isServed(time.Now()))
 	f.mu.Unlock()
-	if hasReader && !isReading {
+	if isOther {
 		if latest, ok := f.ask(ctx, reader); ok {
 			return latest, nil
 		}
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -144,13 +144,14 @@
 		return
 	}
 	if h.Kind == hop.Pong {
-		f.pong(now, agent, h.Sequence)
+		f.pong(now, agent, h.Sequence, b.Uptime)
 	}
 	f.hear(now, agent, b)
 }
 
-func (f *Forwarder) pong(now time.Time, agent hop.IP, sequence uint16) {
+func (f *Forwarder) pong(now time.Time, agent hop.IP, sequence uint16, uptime time.Duration) {
 	f.mu.Lock()
+	f.directory.Started(agent, now.Add(-uptime))
 	change, hasChanged := f.directory.Pong(now, agent, sequence)
 	f.refresh()
 	f.mu.Unlock()
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -21,7 +21,7 @@
 	malformed, sendFailed     tally.Counter
 	located, heldDropped      tally.Counter
 	configuration, storeAge   tally.Gauge
-	targets                   [directory.Dead + 1]tally.Gauge
+	targets                   [directory.Gone + 1]tally.Gauge
 	walk                      tally.Histogram
 }
 
@@ -60,7 +60,7 @@
 	f.counters.configuration.Update(float64(f.version()))
 	f.counters.heldDropped.Inc(int64(f.held.Dropped()) - f.heldReported)
 	f.heldReported = int64(f.held.Dropped())
-	var states [directory.Dead + 1]float64
+	var states [directory.Gone + 1]float64
 	f.mu.Lock()
 	for _, t := range f.directory.Targets() {
 		states[t.State]++
--- a/internal/opaque/hop/report.go
+++ b/internal/opaque/hop/report.go
@@ -59,21 +59,30 @@
 type Bulletin struct {
 	// Sighting is that of the highest version that the agent has heard of.
 	Sighting Sighting
+	// Uptime is the time since the agent started, to the second.
+	Uptime time.Duration
 	// Readers are balancers of the group, those with the highest revisions first.
 	Readers []Reader
 }
 
-const readerBytes = addressBytes + 2 + 8
+const (
+	uptimeBytes = 2
+	readerBytes = addressBytes + 2 + 8
+)
 
 // MaxBulletin is the size of the largest frame with a bulletin.
-const MaxBulletin = fixedBytes + sightingBytes + MaxReaders*readerBytes
+const MaxBulletin = fixedBytes + sightingBytes + uptimeBytes + MaxReaders*readerBytes
 
-// maxAge is the largest age that a bulletin can tell.
-const maxAge = time.Duration(1<<16-1) * time.Millisecond
+// maxAge and maxUptime are the largest times that a bulletin can tell.
+const (
+	maxAge    = time.Duration(1<<16-1) * time.Millisecond
+	maxUptime = time.Duration(1<<16-1) * time.Second
+)
 
 // Append appends the encoded bulletin to raw.
 func (b Bulletin) Append(raw []byte) []byte {
 	raw = b.Sighting.Append(raw)
+	raw = binary.BigEndian.AppendUint16(raw, uint16(min(b.Uptime, maxUptime).Seconds()))
 	for _, r := range b.Readers {
 		raw = append(raw, r.Balancer[:]...)
 		raw = binary.BigEndian.AppendUint16(raw, uint16(min(r.Age, maxAge).Milliseconds()))
@@ -84,13 +93,14 @@
 
 // DecodeBulletin reads what Append wrote.
 func DecodeBulletin(raw []byte) (Bulletin, error) {
-	rest := len(raw) - sightingBytes
+	rest := len(raw) - sightingBytes - uptimeBytes
 	if rest < 0 || rest%readerBytes != 0 || rest/readerBytes > MaxReaders {
 		return Bulletin{}, ErrMalformed
 	}
 	sighting, err := DecodeSighting(raw[:sightingBytes])
-	b := Bulletin{Sighting: sighting}
-	for list := raw[sightingBytes:]; len(list) > 0; list = list[readerBytes:] {
+	uptime := binary.BigEndian.Uint16(raw[sightingBytes:])
+	b := Bulletin{Sighting: sighting, Uptime: time.Duration(uptime) * time.Second}
+	for list := raw[sightingBytes+uptimeBytes:]; len(list) > 0; list = list[readerBytes:] {
 		b.Readers = append(b.Readers, Reader{
 			Balancer: IP(list[:addressBytes]),
 			Age:      time.Duration(binary.BigEndian.Uint16(list[addressBytes:])) * time.Millisecond,
--- a/internal/opaque/readers/choice.go
+++ b/internal/opaque/readers/choice.go
@@ -110,17 +110,18 @@
 	return others, better
 }
 
-// Reader returns a reader other than this balancer. The balancers of a group spread over its readers.
-func (c *Choice) Reader(now time.Time) (hop.IP, bool) {
+// First returns the reader with the lowest rank, at which all balancers of a group ask. It reports false when there is none,
+// or when it is this balancer, which isServed tells to be a reader as well.
+func (c *Choice) First(now time.Time, isServed bool) (hop.IP, bool) {
 	var best hop.IP
-	nearest, isFound := uint64(0), false
+	lowest, isFound := c.rank, false
 	for _, b := range c.told {
 		for _, r := range b.readers {
-			distance := rankOf(r.Balancer) ^ c.rank
-			if r.Balancer == c.self || now.Sub(b.at)+r.Age > freshFor || isFound && distance >= nearest {
+			rank := rankOf(r.Balancer)
+			if r.Balancer == c.self || now.Sub(b.at)+r.Age > freshFor || (isFound || isServed) && rank >= lowest {
 				continue
 			}
-			best, nearest, isFound = r.Balancer, distance, true
+			best, lowest, isFound = r.Balancer, rank, true
 		}
 	}
 	return best, isFound
--- a/internal/opaque/readers/readers_test.go
+++ b/internal/opaque/readers/readers_test.go
@@ -319,3 +319,23 @@
 	g.Expect(b.Take(start, other, hop.Report{Group: group, Revision: 7})).To(Equal(readers.NoNews), "it does not read")
 	g.Expect(b.Take(start, other, hop.Report{IsReading: true, Revision: 9})).To(Equal(readers.NoNews), "it meets elsewhere")
 }
+
+func TestAllOfAGroupAskTheSameReader(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 4, 12)
+	f.run(6 * time.Second)
+	asked := map[hop.IP]int{}
+	reading := 0
+	for _, b := range f.balancers {
+		first, isOther := b.choice.First(f.now, b.isServed(f.now))
+		if isOther {
+			asked[first]++
+			continue
+		}
+		asked[b.ip]++
+		reading++
+		g.Expect(b.choice.IsReading()).To(BeTrue(), "who asks nobody reads")
+	}
+	g.Expect(asked).To(HaveLen(1))
+	g.Expect(reading).To(Equal(1))
+}
--- a/internal/opaque/sidecar/bulletin.go
+++ b/internal/opaque/sidecar/bulletin.go
@@ -22,7 +22,7 @@
 		s.highest = report.Sighting
 	}
 	news := s.board.Take(now, h.Origin, report)
-	bulletin := hop.Bulletin{Sighting: s.highest}
+	bulletin := hop.Bulletin{Sighting: s.highest, Uptime: now.Sub(s.startedAt)}
 	if report.Group != 0 {
 		bulletin.Readers = s.board.Readers(now, report.Group)
 	}
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -65,12 +65,13 @@
 
 // Sidecar is the agent beside a target of opaque flows.
 type Sidecar struct {
-	settings Settings
-	parts    Parts
-	self     hop.IP
-	data     *net.UDPConn
-	outbound *net.UDPConn
-	counters counters
+	settings  Settings
+	parts     Parts
+	self      hop.IP
+	startedAt time.Time
+	data      *net.UDPConn
+	outbound  *net.UDPConn
+	counters  counters
 	// changed is signalled when the entry of the target has to be written.
 	changed chan struct{}
 
@@ -94,7 +95,7 @@
 func New(settings Settings, parts Parts) *Sidecar {
 	self := hop.IP(settings.Data.Addr().As4())
 	return &Sidecar{
-		settings: settings, parts: parts, self: self, counters: newCounters(parts.Scope),
+		settings: settings, parts: parts, self: self, startedAt: time.Now(), counters: newCounters(parts.Scope),
 		changed: make(chan struct{}, 1), board: readers.NewBoard(), resident: resident.New(time.Now(), self, settings.Service),
 	}
 }
