--- a/internal/opaque/proof/proof_test.go
+++ b/internal/opaque/proof/proof_test.go
@@ -199,6 +199,7 @@
 
 // TestOpenFlowsAreFoundAmongManyTargets holds the same where a walk asks a part of the targets only.
 func TestOpenFlowsAreFoundAmongManyTargets(t *testing.T) {
+	setHistories(t, historiesOfMany)
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 3, 20)
 		w.mostHosts = 40
