--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -48,10 +48,10 @@
 	startedAt time.Time
 	// horizon is the moment at which the latest ping was sent that any agent has answered.
 	horizon time.Time
-	// way is the share of the recent pings of agents that answer which has been answered in time. isWayGood is whether
-	// silence may mean that an agent is gone.
-	way       float64
-	isWayGood bool
+	// answerRate is the share of the recent pings of agents that answer which has been answered in time. isPathGood is
+	// whether silence may mean that an agent is gone.
+	answerRate float64
+	isPathGood bool
 	// isCommonStart is set while most agents that answer have just started.
 	isCommonStart bool
 }
@@ -60,7 +60,7 @@
 func New(self hop.IP, zone string) *Directory {
 	return &Directory{
 		seed: xxhash.Sum64(self[:]), zone: zone, targets: make(map[hop.IP]*Target),
-		removed: make(map[hop.IP]store.Version), view: &View{}, way: 1,
+		removed: make(map[hop.IP]store.Version), view: &View{}, answerRate: 1,
 	}
 }
 
--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -638,7 +638,7 @@
 	return known.State == directory.Gone
 }
 
-// The pattern is a VM that went without a word while the way of all other answers is good: callers of its flows, and of all
+// The pattern is a VM that went without a word while the path of all other answers is good: callers of its flows, and of all
 // flows that it might hold, have to be told.
 func TestAnAgentThatIsGoneEndsNoWalk(t *testing.T) {
 	g := NewWithT(t)
@@ -670,8 +670,8 @@
 	g.Expect(known.State).To(Equal(directory.Reachable), "it comes back with its answers")
 }
 
-// The pattern is a full link once more: whatever is lost or late on the balancer's own way, no agent is gone.
-func TestNoAgentIsGoneWhileTheWayIsBad(t *testing.T) {
+// The pattern is a full link once more: whatever is lost or late on the balancer's own path, no agent is gone.
+func TestNoAgentIsGoneWhileThePathIsBad(t *testing.T) {
 	for share, isLost := range map[string]func(n int) bool{
 		"half lost": func(n int) bool { return n%2 == 0 }, "a quarter lost": func(n int) bool { return n%4 == 0 },
 		"nine of ten lost": func(n int) bool { return n%10 != 0 }, "all lost": func(int) bool { return true },
--- a/internal/opaque/directory/reach.go
+++ b/internal/opaque/directory/reach.go
@@ -28,7 +28,7 @@
 	deadAfter = 2 * time.Second
 	// deadMisses is the number of unanswered pings in a row that an agent needs besides to be dead.
 	deadMisses = 6
-	// goneAfter is the time without an answer after which an agent no longer ends the walks of open flows, when the way of
+	// goneAfter is the time without an answer after which an agent no longer ends the walks of open flows, when the path of
 	// the others' answers is good. It is above the pauses of a VM that stands still and the outages of a link that callers
 	// wait for.
 	goneAfter = 4 * time.Second
@@ -36,17 +36,17 @@
 	// together. Then an agent that has not answered at all is gone after unheardGoneAfter.
 	commonStart      = 10 * time.Second
 	unheardGoneAfter = 2 * time.Second
-	mostStarted      = 2.0 / 3
-	// goneMisses is the number of unanswered pings in a row that an agent needs besides. With goodWay a living one has
-	// one chance in a billion to leave as many unanswered.
+	commonStartShare = 2.0 / 3
+	// goneMisses is the number of unanswered pings in a row that an agent needs besides. At goodAnswerRate a living one leaves
+	// as many unanswered once in a billion times.
 	goneMisses = 9
-	// goodWay is the share of the recent pings of agents that answer which has been answered in time, from which on the
-	// way is good. waySamples is the number of pings over which it is averaged.
-	goodWay    = 0.9
-	waySamples = 20
-	// mostSilent is the share of the agents asked up to which those that do not answer may be gone: where more are silent,
-	// the way itself is in doubt.
-	mostSilent = 1.0 / 3
+	// goodAnswerRate is the share of the recent pings of agents that answer which has been answered in time, from which on the
+	// path is good. answerRateSamples is the number of pings over which it is averaged.
+	goodAnswerRate    = 0.9
+	answerRateSamples = 20
+	// maxSilentShare is the share of the agents asked up to which those that do not answer may be gone: where more are silent,
+	// the path itself is in doubt.
+	maxSilentShare = 1.0 / 3
 	// heardWithin is the time since its last answer for which an agent counts as answering.
 	heardWithin = 2 * pingInterval
 	// sequenceUnit is the unit of ping sequences, which tell when a ping was sent. They repeat after 655 s.
@@ -148,7 +148,7 @@
 	}
 	r := &t.reach
 	if t.State == Reachable && now.Sub(sentAt) < pongTimeout {
-		d.sampleWay(1)
+		d.recordAnswer(1)
 	}
 	r.missed = 0
 	if r.isAsked && !sentAt.Before(r.askedAt) {
@@ -167,7 +167,7 @@
 
 // Tick counts pings that were not answered in time and returns the pings to send.
 func (d *Directory) Tick(now time.Time) (pings []Ping, changes []Change) {
-	if d.isWayGood = d.judgeWay(now); !d.isWayGood {
+	if d.isPathGood = d.judgePath(now); !d.isPathGood {
 		changes = d.doubtGone()
 	}
 	hasCalm, hasDoubtful := false, false
@@ -195,7 +195,7 @@
 	return Ping{Agent: t.Agent, Sequence: sequence, IsMeeting: t.reach.isMeetingPoint}
 }
 
-// askCalm adds a ping of an agent that answers: its answer tells that a missing one is not due to the way.
+// askCalm adds a ping of an agent that answers: its answer tells that a missing one is not due to the path.
 func (d *Directory) askCalm(now time.Time, pings []Ping) []Ping {
 	for _, t := range d.targets {
 		if t.reach.isMeetingPoint && t.reach.missed == 0 && !t.reach.isAsked {
@@ -217,13 +217,15 @@
 		return d.miss(now, t)
 	case waited >= pingInterval:
 		r.isAsked, r.nextPing = false, now
-		d.sampleWay(0)
+		d.recordAnswer(0)
 	}
 	return Change{}, false
 }
 
-// sampleWay takes the outcome of a ping of an agent that answers: 1 for an answer in time, else 0.
-func (d *Directory) sampleWay(outcome float64) { d.way += (outcome - d.way) / waySamples }
+// recordAnswer takes the outcome of a ping of an agent that answers: 1 for an answer in time, else 0.
+func (d *Directory) recordAnswer(outcome float64) {
+	d.answerRate += (outcome - d.answerRate) / answerRateSamples
+}
 
 func (d *Directory) miss(now time.Time, t *Target) (Change, bool) {
 	r := &t.reach
@@ -233,7 +235,7 @@
 	}
 	r.missed++
 	if t.State == Reachable {
-		d.sampleWay(0)
+		d.recordAnswer(0)
 	}
 	state := t.State
 	silence := now.Sub(r.firstMiss)
@@ -262,9 +264,9 @@
 	}
 }
 
-// judgeWay reports whether the way of answers is good: those of agents that answer come in time, and few agents are silent.
+// judgePath reports whether the path of answers is good: those of agents that answer come in time, and few agents are silent.
 // It notes whether most of these have just started.
-func (d *Directory) judgeWay(now time.Time) bool {
+func (d *Directory) judgePath(now time.Time) bool {
 	answering, silent, started := 0, 0, 0
 	for _, t := range d.targets {
 		switch {
@@ -278,8 +280,8 @@
 			}
 		}
 	}
-	d.isCommonStart = answering > 0 && float64(started) >= mostStarted*float64(answering)
-	return d.way >= goodWay && float64(silent) <= mostSilent*float64(silent+answering)
+	d.isCommonStart = answering > 0 && float64(started) >= commonStartShare*float64(answering)
+	return d.answerRate >= goodAnswerRate && float64(silent) <= maxSilentShare*float64(silent+answering)
 }
 
 // doubtGone takes back that agents are gone: one that is back might not be heard.
@@ -302,7 +304,7 @@
 	if t.AnsweredAt.IsZero() && d.isCommonStart {
 		limit = unheardGoneAfter
 	}
-	return t.State == Gone || silence >= limit && t.reach.missed >= goneMisses && d.isWayGood
+	return t.State == Gone || silence >= limit && t.reach.missed >= goneMisses && d.isPathGood
 }
 
 // sequence returns the sequence of a ping that is sent now.
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -146,7 +146,7 @@
 	if h.Kind == hop.Pong {
 		f.pong(now, agent, h.Sequence, b.Uptime)
 	}
-	f.hear(now, agent, b)
+	f.takeBulletin(now, agent, b)
 }
 
 func (f *Forwarder) pong(now time.Time, agent hop.IP, sequence uint16, uptime time.Duration) {
--- a/internal/opaque/forwarder/role.go
+++ b/internal/opaque/forwarder/role.go
@@ -15,8 +15,8 @@
 	wait time.Duration
 }
 
-// hear takes the bulletin of an agent.
-func (f *Forwarder) hear(now time.Time, agent hop.IP, b hop.Bulletin) {
+// takeBulletin takes the bulletin of an agent.
+func (f *Forwarder) takeBulletin(now time.Time, agent hop.IP, b hop.Bulletin) {
 	f.mu.Lock()
 	if f.directory.IsMeetingPoint(agent) {
 		f.readers.Take(now, agent, b.Readers)
