One sender between balancers, one flag for a lost store, one report a check

From reading the change once more; behaviour stays. sendToBalancer stood beside send with another port: sendTo serves both, and peerAt names the place that three lines computed. The follower kept isLost beside the forwarder's isStoreLost, which was set at the same moments. A check built the report twice; pings of agents at which the group does not meet carry the sighting alone, as before.

--- a/internal/opaque/directory/directory_test.go
+++ b/internal/opaque/directory/directory_test.go
@@ -168,6 +168,13 @@
 
 func everyone(hop.IP) bool { return true }
 
+// useAll notes a packet to each agent.
+func useAll(d *directory.Directory, now time.Time) {
+	for _, t := range d.Targets() {
+		d.Used(now, t.Agent)
+	}
+}
+
 func isDead(d *directory.Directory, agent hop.IP) bool {
 	known, _ := d.Known(agent)
 	return known.State >= directory.Dead
@@ -224,9 +231,7 @@
 	d := filled(20)
 	meeting, other := 0, map[hop.IP]int{}
 	for now := start; now.Sub(start) < 10*time.Second; now = now.Add(75 * time.Millisecond) {
-		for n := byte(1); n <= 20; n++ {
-			d.Used(now, agent(n))
-		}
+		useAll(d, now)
 		pings, _ := d.Tick(now)
 		for _, p := range pings {
 			if p.IsMeeting {
@@ -494,9 +499,7 @@
 			d.Pong(now, under[0].ping.Agent, under[0].ping.Sequence)
 			under = under[1:]
 		}
-		for _, t := range d.Targets() {
-			d.Used(now, t.Agent)
-		}
+		useAll(d, now)
 		pings, changes := d.Tick(now)
 		all = append(all, changes...)
 		for _, p := range pings {
@@ -648,9 +651,7 @@
 	answers := func(a hop.IP) bool { return a != gone }
 	use := func(length time.Duration) {
 		for end := now.Add(length); now.Before(end); {
-			for n := byte(1); n <= 12; n++ {
-				d.Used(now, agent(n))
-			}
+			useAll(d, now)
 			now = run(d, now, 75*time.Millisecond, answers)
 		}
 	}
@@ -682,9 +683,7 @@
 			now := run(d, start, 3*time.Second, everyone)
 			gone, sent := agent(5), 0
 			for from := now; now.Sub(from) < 30*time.Second; now = now.Add(75 * time.Millisecond) {
-				for n := byte(1); n <= 12; n++ {
-					d.Used(now, agent(n))
-				}
+				useAll(d, now)
 				pings, _ := d.Tick(now)
 				for _, p := range pings {
 					if sent++; p.Agent != gone && !isLost(sent) {
@@ -705,9 +704,7 @@
 	d := filled(12)
 	now := run(d, start, 3*time.Second, everyone)
 	for from := now; now.Sub(from) < 30*time.Second; {
-		for n := byte(1); n <= 12; n++ {
-			d.Used(now, agent(n))
-		}
+		useAll(d, now)
 		now = run(d, now, 75*time.Millisecond, func(a hop.IP) bool { return a == agent(7) })
 	}
 	for _, target := range d.Targets() {
@@ -723,9 +720,7 @@
 			d := filled(12)
 			silent, now := agent(5), start
 			for ; now.Sub(start) < 3*time.Second; now = now.Add(75 * time.Millisecond) {
-				for n := byte(1); n <= 12; n++ {
-					d.Used(now, agent(n))
-				}
+				useAll(d, now)
 				pings, _ := d.Tick(now)
 				for _, p := range pings {
 					if p.Agent != silent {
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -37,7 +37,7 @@
 		before := f.version()
 		sleep(ctx, next.wait)
 		if next.wait == 0 || f.version() == before {
-			f.fetch(ctx, netip.AddrPortFrom(netip.AddrFrom4(next.holder), f.settings.Peer.Port()))
+			f.fetch(ctx, f.peerAt(next.holder))
 		}
 		for ok := true; ok; {
 			_, ok = f.ahead.TryGet()
--- a/internal/opaque/forwarder/confirm.go
+++ b/internal/opaque/forwarder/confirm.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -126,7 +125,7 @@
 	f.asked++
 	h := hop.Header{Kind: hop.Ask, Origin: f.self, Sequence: f.asked}
 	var buffer [hop.MaxTrailer]byte
-	f.sendToBalancer(reader, h.Append(buffer[:0]))
+	f.sendTo(f.peerAt(reader), h.Append(buffer[:0]))
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	for {
@@ -156,7 +155,7 @@
 		}
 		h := hop.Header{Kind: hop.Told, Origin: f.self, Sequence: sequence}
 		var buffer [hop.MaxTrailer]byte
-		f.sendToBalancer(from, h.Append(binary.BigEndian.AppendUint64(buffer[:0], uint64(latest))))
+		f.sendTo(f.peerAt(from), h.Append(binary.BigEndian.AppendUint64(buffer[:0], uint64(latest))))
 	}()
 }
 
@@ -169,11 +168,3 @@
 }
 
 const revisionBytes = 8
-
-// sendToBalancer sends a frame to another balancer.
-func (f *Forwarder) sendToBalancer(to hop.IP, frame []byte) {
-	address := netip.AddrPortFrom(netip.AddrFrom4(to), f.settings.Peer.Port())
-	if _, err := f.peer.WriteToUDPAddrPort(frame, address); err != nil {
-		f.counters.sendFailed.Inc(1)
-	}
-}
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -21,8 +21,7 @@
 	// balancer.
 	followSlack = 350 * time.Millisecond
 	// followSpacing is the least time between two such calls, so that changes in quick succession arrive together: each
-	// entry that changes would otherwise be a call of every balancer. It is a third of the time in which operators expect a
-	// change in force. What agents know of their targets binds them without it.
+	// entry that changes would otherwise be a call. What agents know of their targets binds them without it.
 	followSpacing = time.Second
 	// Waits between failed calls: short at first, and at most a second, so that an outage costs few calls. A balancer
 	// that knows no routes yet has callers waiting and tries more often.
@@ -37,8 +36,7 @@
 // follower is the state of following the store.
 type follower struct {
 	*Forwarder
-	retry  *backoff.ExponentialBackOff
-	isLost bool
+	retry *backoff.ExponentialBackOff
 }
 
 // follow keeps the routes and the targets in step with the store while this balancer is a reader, until ctx ends.
@@ -92,15 +90,15 @@
 }
 
 func (s *follower) succeeded(at store.Version) {
-	if s.isLost {
-		s.parts.Log.Emit(events.StoreAvailable, events.F("peer", "store"))
-	}
-	s.isLost = false
 	s.retry.Reset()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	wasLost := s.isStoreLost
 	s.storeHeardAt, s.isStoreLost = time.Now(), false
 	s.followedTo = max(s.followedTo, at)
+	s.mu.Unlock()
+	if wasLost {
+		s.parts.Log.Emit(events.StoreAvailable, events.F("peer", "store"))
+	}
 }
 
 // forget makes the next step read the store anew: its history no longer reaches back to what is known.
@@ -112,13 +110,13 @@
 
 // failed returns the time until the next try.
 func (s *follower) failed(err error) time.Duration {
-	if !s.isLost {
-		s.parts.Log.Emit(events.StoreUnavailable, events.F("step", "follow"), events.F("peer", "store"), events.Err(err))
-	}
-	s.isLost = true
 	s.mu.Lock()
+	wasLost := s.isStoreLost
 	s.isStoreLost = true
 	s.mu.Unlock()
+	if !wasLost {
+		s.parts.Log.Emit(events.StoreUnavailable, events.F("step", "follow"), events.F("peer", "store"), events.Err(err))
+	}
 	wait := s.retry.NextBackOff()
 	if !s.isReady.Load() {
 		wait = min(wait, uninformedRetry)
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -79,8 +79,17 @@
 	}
 }
 
+// send sends a frame to an agent.
 func (f *Forwarder) send(agent hop.IP, frame []byte) {
-	to := netip.AddrPortFrom(netip.AddrFrom4(agent), f.settings.Data.Port())
+	f.sendTo(netip.AddrPortFrom(netip.AddrFrom4(agent), f.settings.Data.Port()), frame)
+}
+
+// peerAt returns where the balancer at an IP receives frames and answers other balancers.
+func (f *Forwarder) peerAt(ip hop.IP) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), f.settings.Peer.Port())
+}
+
+func (f *Forwarder) sendTo(to netip.AddrPort, frame []byte) {
 	if _, err := f.peer.WriteToUDPAddrPort(frame, to); err != nil {
 		f.counters.sendFailed.Inc(1)
 	}
@@ -209,11 +218,11 @@
 		f.logTarget(change)
 	}
 	var buffer [hop.MaxBulletin]byte
-	meeting, other := f.report(now, true), f.report(now, false)
+	meeting := f.report(now)
 	for _, ping := range pings {
-		report := other
-		if ping.IsMeeting {
-			report = meeting
+		report := meeting
+		if !ping.IsMeeting {
+			report = hop.Report{Sighting: meeting.Sighting}
 		}
 		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
 		f.send(ping.Agent, h.Append(report.Append(buffer[:0])))
--- a/internal/opaque/forwarder/role.go
+++ b/internal/opaque/forwarder/role.go
@@ -53,18 +53,17 @@
 	}
 }
 
-// report returns what this balancer says of itself to an agent at which its group meets, or to another one.
-func (f *Forwarder) report(now time.Time, isMeeting bool) hop.Report {
+// report returns what this balancer says of itself to the agents at which its group meets. Others need the sighting alone.
+func (f *Forwarder) report(now time.Time) hop.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := hop.Report{Sighting: hop.Sighting{Holder: f.self}}
+	r := hop.Report{
+		Sighting: hop.Sighting{Holder: f.self}, Group: f.directory.Group(), Revision: uint64(f.followedTo),
+		IsReading: f.followedTo > 0 && f.isServed(now),
+	}
 	if table := f.steer.Table(); table != nil {
 		r.Sighting.Version = table.Version
 	}
-	if isMeeting {
-		r.Group, r.Revision = f.directory.Group(), uint64(f.followedTo)
-		r.IsReading = f.followedTo > 0 && f.isServed(now)
-	}
 	return r
 }
 
