--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -12,6 +12,12 @@
 	"gentianswitch/platform"
 )
 
+// Times of the users' platform.
+const (
+	defaultGrace        = 6 * time.Second
+	defaultFlowLifetime = time.Minute
+)
+
 // opaqueCommand is the first argument that starts an agent of opaque flows on the users' platform.
 const opaqueCommand = "opaque"
 
@@ -28,10 +34,17 @@
 	outbound, target, announce netip.AddrPort
 	peer                       netip.AddrPort
 	heartbeat                  time.Duration
+	grace, flowLifetime        time.Duration
 }
 
-// shortestHeartbeat keeps a wrong setting from making targets come and go: a pause of a busy VM is shorter.
-const shortestHeartbeat = 100 * time.Millisecond
+const (
+	// shortestHeartbeat keeps a wrong setting from making targets come and go: a pause of a busy VM is shorter.
+	shortestHeartbeat = 100 * time.Millisecond
+	// shortestGrace leaves time for the last call to the store.
+	shortestGrace = time.Second
+	// shortestFlowLifetime is above the time for which callers repeat packets.
+	shortestFlowLifetime = 5 * time.Second
+)
 
 func (o *opaqueOptions) define(fs *flag.FlagSet) {
 	fs.StringVar(&o.store, "store", "", "`host:port` of the platform's metadata store")
@@ -40,6 +53,8 @@
 	settings.AddrPortVar(fs, &o.outbound, "outbound", "IPv4 `ip:port` that receives the packets of the target")
 	settings.AddrPortVar(fs, &o.announce, "announce", "IPv4 `ip:port` that receives the heartbeats of the target")
 	fs.DurationVar(&o.heartbeat, "heartbeat", time.Second, "interval of the target's heartbeats")
+	fs.DurationVar(&o.grace, "grace", defaultGrace, "`time` after which an agent that was told to stop is killed")
+	fs.DurationVar(&o.flowLifetime, "flow-lifetime", defaultFlowLifetime, "age from which on flows may be discarded")
 	settings.AddrPortVar(fs, &o.peer, "peer", "IPv4 `ip:port` whose port is that at which balancers receive frames")
 }
 
@@ -53,6 +68,12 @@
 	if o.heartbeat < shortestHeartbeat {
 		return common.Missing("heartbeat", "at least "+shortestHeartbeat.String())
 	}
+	if o.grace < shortestGrace {
+		return common.Missing("grace", "at least "+shortestGrace.String())
+	}
+	if o.flowLifetime < shortestFlowLifetime {
+		return common.Missing("flow-lifetime", "at least "+shortestFlowLifetime.String())
+	}
 	for _, a := range []struct {
 		name  string
 		value netip.AddrPort
@@ -68,6 +89,7 @@
 	s := sidecar.Settings{
 		Data: parts.Common.Data, Outbound: o.outbound, Target: o.target, Announce: o.announce,
 		PeerPort: o.peer.Port(), Service: o.service, Heartbeat: o.heartbeat,
+		Grace: o.grace, FlowLifetime: o.flowLifetime,
 	}
 	return program.Keyless(sidecar.New(s, sidecar.Parts{
 		Codec:           platform.Packets{},
--- /dev/null
+++ b/integration/opaque_stop_test.go
@@ -0,0 +1,74 @@
+package integration
+
+import (
+	"fmt"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/platform/standin"
+)
+
+var _ = Describe("An agent that ends before its target", func() {
+	// served returns a caller with a flow, and the agent and the target that hold it.
+	served := func(d *opaqueDeployment) (*standin.Caller, *opaqueProcess, *standin.Target) {
+		GinkgoHelper()
+		c := d.newCaller(through(d.balancers[0]))
+		Expect(c.Open()).To(Succeed())
+		name, err := c.Ask("before")
+		Expect(err).NotTo(HaveOccurred())
+		for i, t := range d.targets {
+			if t.Name == name {
+				return c, d.agents[i], t
+			}
+		}
+		Fail("no target is named " + name)
+		return nil, nil, nil
+	}
+
+	It("serves the flows of a draining target until that has left", func() {
+		d := newOpaqueDeployment(1, 3)
+		c, agent, target := served(d)
+		Expect(target.Drain()).To(Succeed())
+		agent.signal(syscall.SIGTERM)
+		Eventually(agent.logText).WithTimeout(patience).Should(ContainSubstring("process stopping"))
+		for i := range 5 {
+			name, err := c.Ask(fmt.Sprint("while it drains ", i))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(name).To(Equal(target.Name))
+		}
+		Expect(target.Leave()).To(Succeed())
+		Eventually(agent.ended).WithTimeout(patience).Should(BeClosed())
+		Expect(agent.logText()).To(ContainSubstring(`"event":315,"left":true`), "the store has to know")
+	})
+
+	It("ends at once when its target goes on", func() {
+		d := newOpaqueDeployment(1, 2)
+		_, agent, _ := served(d)
+		agent.signal(syscall.SIGTERM)
+		Eventually(agent.ended).WithTimeout(patience).Should(BeClosed())
+		Expect(agent.logText()).NotTo(ContainSubstring(`"left":true`))
+	})
+
+	It("leaves flows whose packets reach no other target", func() {
+		d := newOpaqueDeployment(1, 4)
+		c, agent, target := served(d)
+		agent.kill()
+		_, err := c.Ask("nobody is there")
+		Expect(err).To(MatchError(standin.ErrNoAnswer))
+		for _, t := range d.targets {
+			if t != target {
+				Expect(t.Strays()).To(BeZero(), t.Name)
+			}
+		}
+		agent.start()
+		Eventually(func() error {
+			name, err := c.Ask("after")
+			if err == nil {
+				Expect(name).To(Equal(target.Name))
+			}
+			return err
+		}).WithTimeout(patience).Should(Succeed())
+	})
+})
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -42,8 +42,9 @@
 	TargetEntryRefused = define(311, logrus.WarnLevel, "target entry refused",
 		"An entry in the store cannot be read; it names no target.", "key", "revision", "error")
 	TargetHeartbeat = define(312, logrus.InfoLevel, "target state",
-		"A heartbeat has changed what the agent believes of its target.",
-		"instance", "started", "sequence", "service", "slots", "draining")
+		"A heartbeat has changed what the agent believes of its target. The flow table is complete when the target holds no "+
+			"flow beside those in it.",
+		"instance", "started", "sequence", "service", "slots", "draining", "complete")
 	TargetHeartbeatRefused = define(313, logrus.WarnLevel, "target heartbeat refused",
 		"A heartbeat is malformed, is of another target, or was overtaken by a later one; it changes nothing.",
 		"instance", "error")
@@ -54,7 +55,7 @@
 			"flows have ended. Its last heartbeat came heartbeat_ms ago; -1 is never.",
 		"instance", "flows", "heartbeat_ms")
 	EntryWritten = define(315, logrus.InfoLevel, "entry written",
-		"The store holds the target's entry.", "revision", "draining", "left")
+		"The store holds the target's entry.", "revision", "draining", "left", "complete")
 
 	ConfigurationApplied = define(410, logrus.InfoLevel, "configuration applied",
 		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "added", "removed", "moved", "revision", "source")
--- /dev/null
+++ b/internal/opaque/resident/complete_test.go
@@ -0,0 +1,128 @@
+package resident_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/resident"
+)
+
+// quiet lets two intervals of heartbeats pass.
+func quiet(r *resident.Resident) {
+	for range 2 * resident.TicksPerHeartbeat {
+		r.Tick(start)
+	}
+}
+
+func restarted(sequence int64) resident.Heartbeat {
+	h := heartbeat(sequence)
+	h.Started = 2000
+	return h
+}
+
+// The pattern is a target whose agent has ended while it drains: the packets of its flows are looked for at all others.
+func TestAPacketOfAnotherTargetsFlowIsDeclinedOnlyByACompleteTable(t *testing.T) {
+	for name, test := range map[string]struct {
+		give       func(r *resident.Resident)
+		at         time.Time
+		isComplete bool
+	}{
+		"a former process may have carried it":         {func(r *resident.Resident) { r.Heartbeat(start, heartbeat(1)) }, start, false},
+		"a flow as old may be discarded":               {func(*resident.Resident) {}, start.Add(flowLifetime), true},
+		"one just younger may not":                     {func(*resident.Resident) {}, start.Add(flowLifetime - 1), false},
+		"no balancer knew the VM before":               {func(r *resident.Resident) { r.EntryCreated() }, start, true},
+		"the target starts beside it":                  {func(r *resident.Resident) { quiet(r); r.Heartbeat(start, heartbeat(1)) }, start, true},
+		"its first calls may have failed":              {func(r *resident.Resident) { quiet(r); r.Heartbeat(start, heartbeat(2)) }, start, false},
+		"the target follows one that was known":        {func(r *resident.Resident) { r.Heartbeat(start, heartbeat(7)); r.Heartbeat(start, restarted(3)) }, start, true},
+		"the same target was given up and is back":     {func(r *resident.Resident) { r.EntryCreated(); giveUp(r); r.Heartbeat(start, heartbeat(9)) }, start, false},
+		"... and its flows may be discarded":           {func(r *resident.Resident) { r.EntryCreated(); giveUp(r); r.Heartbeat(start, heartbeat(9)) }, start.Add(flowLifetime), true},
+		"another target follows one that was given up": {func(r *resident.Resident) { giveUp(r); r.Heartbeat(start, restarted(1)) }, start, true},
+		"there were more flows than it has room for":   {func(r *resident.Resident) { r.EntryCreated(); overfill(r) }, start, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := resident.New(start, here, "pedidos", flowLifetime)
+			test.give(r)
+			d := r.FromNode(test.at, data(9, 1), frame(next))
+			if !test.isComplete {
+				g.Expect(d.Verdict).To(Equal(resident.Deliver))
+				return
+			}
+			g.Expect(d.Verdict).To(Equal(resident.PassOn))
+			g.Expect(d.Reason).To(Equal(resident.NotHeld))
+			g.Expect(d.Next).To(Equal(next))
+		})
+	}
+}
+
+// giveUp takes a heartbeat and lets the target fall silent.
+func giveUp(r *resident.Resident) {
+	r.Heartbeat(start, heartbeat(1))
+	for range absentTicks {
+		r.Tick(start)
+	}
+}
+
+func overfill(r *resident.Resident) {
+	for port := range uint16(5000) {
+		r.FromTarget(start, accept(10_000+port))
+	}
+}
+
+func TestACompleteTableServesItsOwnFlows(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	r.EntryCreated()
+	open(g, r, start, 1)
+	g.Expect(r.FromNode(after(10), data(1, 200), frame(next)).Verdict).To(Equal(resident.Deliver))
+	r.FromTarget(after(10), answer(1))
+	g.Expect(r.FromNode(after(10), opening(2), frame(next)).Verdict).To(Equal(resident.Deliver), "a new flow is no stray")
+}
+
+func TestACompleteTableTellsWhetherARepeatedOpeningIsOpen(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	r.EntryCreated()
+	r.Heartbeat(start, draining(2))
+	repeated := opening(1)
+	repeated.Copies = 1
+	g.Expect(r.FromNode(after(10), repeated, frame(next)).Header.MayBeOpen).To(BeFalse())
+}
+
+// The pattern is a target that restarts and serves before its first heartbeat has been taken.
+func TestFlowsOfTheNextIncarnationOutliveTheFormerOne(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, after(-10), 1)
+	open(g, r, after(10), 2)
+	ended := r.Heartbeat(after(20), restarted(1)).Ended
+	g.Expect(ended).To(HaveLen(1))
+	g.Expect(ended[0].ID).To(Equal(data(1, 1).FromCaller()))
+	g.Expect(r.FromNode(after(30), data(2, 200), frame(next)).Verdict).To(Equal(resident.Deliver))
+	g.Expect(r.FromNode(after(30), data(1, 200), frame(next)).Reason).To(Equal(resident.NotHeld))
+}
+
+func TestAnAgentServesATargetThatLeaves(t *testing.T) {
+	g := NewWithT(t)
+	r := resident.New(start, here, "pedidos", flowLifetime)
+	g.Expect(r.IsLeaving()).To(BeFalse(), "nothing is known of it")
+	r.Heartbeat(start, heartbeat(1))
+	g.Expect(r.IsLeaving()).To(BeFalse(), "it goes on")
+	r.Heartbeat(start, draining(2))
+	g.Expect(r.IsLeaving()).To(BeTrue())
+	r.Leave("i-1")
+	g.Expect(r.IsLeaving()).To(BeFalse(), "it has left")
+	giveUp(r)
+	g.Expect(r.IsLeaving()).To(BeFalse(), "it is silent")
+}
+
+func TestAnOpeningThatWaitsAtAnAgentThatEndsGoesToTheNextCandidate(t *testing.T) {
+	g := NewWithT(t)
+	d := resident.HandOn(frame(next))
+	g.Expect(d.Verdict).To(Equal(resident.PassOn))
+	g.Expect(d.Reason).To(Equal(resident.Stopping))
+	g.Expect(d.Next).To(Equal(next))
+	g.Expect(resident.HandOn(frame()).Verdict).To(Equal(resident.GiveBack))
+}
--- a/internal/opaque/resident/openings.go
+++ b/internal/opaque/resident/openings.go
@@ -110,6 +110,9 @@
 	return d
 }
 
+// HandOn returns the decision for a packet that opens a flow and waits at an agent that ends.
+func HandOn(h *hop.Header) Decision { return decline(h, Stopping) }
+
 // Capacity returns the number of requests that the target answers in a time while all of its slots are in use, or 0 when
 // that is not known.
 func (r *Resident) Capacity(in time.Duration) int {
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -49,12 +49,15 @@
 	Stale
 	Busy
 	Forgotten
+	NotHeld
+	Stopping
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
 		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy", "forgotten",
+		"not_held", "stopping",
 	}[r]
 }
 
@@ -79,8 +82,6 @@
 	// markSlots is the number of packets that can be at the target at once: far above 16 packets in flight on the few
 	// hundred flows that are active in the milliseconds until a target bounces a packet. A power of two.
 	markSlots = 4096
-	// idleLimit is above the 15 s after which idle flows may be discarded.
-	idleLimit = 20 * time.Second
 	// waitLimit is the time after which a flow without packets no longer counts as waiting: its caller has left. Callers
 	// repeat unanswered packets at least every 1.6 s.
 	waitLimit = 2 * time.Second
@@ -99,7 +100,9 @@
 
 // held is a flow that the target has accepted.
 type held struct {
-	seen         time.Time
+	seen time.Time
+	// acceptedAt is when the target last accepted the flow.
+	acceptedAt   time.Time
 	hinted       time.Time
 	acknowledged uint32
 	// sent is the sequence number up to which the caller has sent data, valid when hasSent is set.
@@ -134,9 +137,13 @@
 	// serviceName is the name of the service.
 	serviceName string
 	service     desired.ServiceKey
-	target      target
-	flows       map[flow.ID]*held
-	marks       [markSlots]mark
+	// flowLifetime is the age from which on the platform lets a flow be discarded.
+	flowLifetime time.Duration
+	target       target
+	flows        map[flow.ID]*held
+	// incompleteUntil is when the last flow that the table may lack has reached its lifetime.
+	incompleteUntil time.Time
+	marks           [markSlots]mark
 	// sequence numbers the delivered packets, from 1.
 	sequence uint32
 	// waiting is the number of flows whose isWaiting is set, queued the number of openings that wait for room.
@@ -148,12 +155,15 @@
 	answeredAt time.Time
 }
 
-// New returns the state of an agent at the address self, beside a target that runs a service, that starts now.
-func New(now time.Time, self hop.IP, service string) *Resident {
-	return &Resident{
-		self: self, startedAt: now, serviceName: service, service: desired.KeyOf(service),
+// New returns the state of an agent at the address self, beside a target that runs a service, that starts now. A flow older
+// than flowLifetime may be discarded.
+func New(now time.Time, self hop.IP, service string, flowLifetime time.Duration) *Resident {
+	r := &Resident{
+		self: self, startedAt: now, serviceName: service, service: desired.KeyOf(service), flowLifetime: flowLifetime,
 		flows: make(map[flow.ID]*held),
 	}
+	r.miss(now)
+	return r
 }
 
 // FromNode returns the decision for a caller's packet that a balancer or another agent sent.
@@ -164,12 +174,15 @@
 	id := p.FromCaller()
 	f := r.flows[id]
 	if f == nil && p.Opens {
-		h.MayBeOpen = h.MayBeOpen || p.Copies > 0 && now.Sub(r.startedAt) < openingLifetime
+		h.MayBeOpen = h.MayBeOpen || p.Copies > 0 && now.Sub(r.startedAt) < openingLifetime && !r.IsComplete(now)
 		return r.opens(now, id, h)
 	}
 	if r.target.isMissed || r.target.hasLeft && f == nil {
 		return decline(h, Absent)
 	}
+	if f == nil && r.IsComplete(now) {
+		return decline(h, NotHeld)
+	}
 	d := Decision{Verdict: Deliver, Mark: r.remember(h)}
 	if f != nil {
 		d.Reason = Held
@@ -258,7 +271,8 @@
 	f := r.flows[id]
 	switch {
 	case p.Accepts:
-		r.hold(now, id).isAccepted = true
+		accepted := r.hold(now, id)
+		accepted.isAccepted, accepted.acceptedAt = true, now
 	case f == nil:
 	case p.Resets:
 		r.forget(id, f)
@@ -285,6 +299,7 @@
 	if f == nil {
 		f = &held{seen: now}
 		if len(r.flows) >= maxFlows {
+			r.miss(now)
 			return f
 		}
 		r.flows[id] = f
@@ -333,13 +348,13 @@
 	Acknowledged uint32
 }
 
-// Sweep forgets flows that have ended or gone idle.
+// Sweep forgets flows that have ended, and those without packets for so long that they may be discarded.
 func (r *Resident) Sweep(now time.Time) {
 	r.sweptAt = now
 	for id, f := range r.flows {
 		idle := now.Sub(f.seen)
 		switch {
-		case idle > idleLimit || f.finished == callerFinished|targetFinished && idle > closedLimit:
+		case idle > r.flowLifetime || f.finished == callerFinished|targetFinished && idle > closedLimit:
 			r.forget(id, f)
 		case idle > waitLimit || !f.isOpen && idle > openLimit:
 			r.setWaiting(f, false)
@@ -350,15 +365,18 @@
 // Flows returns the number of flows that the target holds.
 func (r *Resident) Flows() int { return len(r.flows) }
 
-// lost returns the open flows that ended with the former incarnation of the target, and forgets all.
-func (r *Resident) lost() []Ended {
+// lost forgets the flows that the target had accepted by a moment at which it still ran, and returns the open ones of them. Later
+// flows may be those of its next incarnation.
+func (r *Resident) lost(by time.Time) []Ended {
 	var ended []Ended
 	for id, f := range r.flows {
+		if f.acceptedAt.After(by) {
+			continue
+		}
 		if f.isOpen && f.finished&targetFinished == 0 {
 			ended = append(ended, Ended{ID: id, Acknowledged: f.acknowledged})
 		}
+		r.forget(id, f)
 	}
-	clear(r.flows)
-	r.waiting = 0
 	return ended
 }
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -42,6 +42,8 @@
 	offeredAt        time.Time
 	// isWaiting is set while no packet of the target has followed an opening packet.
 	isWaiting bool
+	// heartbeatAt is when the last heartbeat was taken.
+	heartbeatAt time.Time
 	// silentTicks counts the ticks since the last sign of life, up to absentTicks.
 	silentTicks int
 	// isMissed is set from the tick that has found the target silent until its next heartbeat.
@@ -92,17 +94,20 @@
 }
 
 // Heartbeat takes a heartbeat of the target.
-func (r *Resident) Heartbeat(h Heartbeat) Outcome {
+func (r *Resident) Heartbeat(now time.Time, h Heartbeat) Outcome {
 	t := &r.target
 	if t.isKnown && t.isStale(h) {
 		return Outcome{IsStale: true}
 	}
 	var ended []Ended
 	if t.isKnown && t.isNewIncarnation(h) {
-		ended = r.lost()
+		ended = r.lost(t.heartbeatAt)
+	}
+	if t.startsHere(h) {
+		r.incompleteUntil = time.Time{}
 	}
 	before, former := r.Entry(), t.last.Instance
-	t.last, t.isKnown, t.hasLeft, t.isMissed = h, true, false, false
+	t.last, t.heartbeatAt, t.isKnown, t.hasLeft, t.isMissed = h, now, true, false, false
 	t.heard()
 	return Outcome{HasChanged: before != r.Entry(), Ended: ended, Former: former}
 }
@@ -120,7 +125,7 @@
 
 // Tick takes the passing of a part of the heartbeats' interval. When the target has given no sign of life for too long, its
 // flows have ended. A target that an agent has never heard of is gone as well: its VM has lost power, or it has left.
-func (r *Resident) Tick() Outcome {
+func (r *Resident) Tick(now time.Time) Outcome {
 	t := &r.target
 	t.silentTicks = min(t.silentTicks+1, absentTicks)
 	if t.silentTicks < absentTicks || t.isMissed {
@@ -128,7 +133,13 @@
 	}
 	before := r.Entry()
 	t.isMissed = true
-	return Outcome{HasChanged: before != r.Entry(), Ended: r.lost(), Former: t.last.Instance}
+	r.miss(now)
+	return Outcome{HasChanged: before != r.Entry(), Ended: r.lost(now), Former: t.last.Instance}
+}
+
+// IsLeaving reports whether the target ends its flows and has not left yet.
+func (r *Resident) IsLeaving() bool {
+	return r.target.isKnown && r.target.last.IsDraining && !r.target.isAbsent()
 }
 
 // Leave takes the end of an instance, and reports whether it is that of the target.
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -21,10 +21,12 @@
 		return eris.Errorf("heartbeat of service %s at %s, expected %s at %s", h.Service, address, s.settings.Service, s.settings.Target)
 	}
 	s.mu.Lock()
-	outcome := s.resident.Heartbeat(h)
+	now := time.Now()
+	outcome := s.resident.Heartbeat(now, h)
 	if !outcome.IsStale {
-		s.heardAt = time.Now()
+		s.heardAt = now
 	}
+	isComplete := s.resident.IsComplete(now)
 	s.announce(outcome.HasChanged)
 	s.mu.Unlock()
 	if outcome.IsStale {
@@ -34,7 +36,7 @@
 	if outcome.HasChanged {
 		s.parts.Log.Emit(events.TargetHeartbeat, events.F("instance", h.Instance), events.F("started", h.Started),
 			events.F("sequence", h.Sequence), events.F("service", h.Service), events.F("slots", h.Slots),
-			events.F("draining", h.IsDraining))
+			events.F("draining", h.IsDraining), events.F("complete", isComplete))
 	}
 	s.resetAll(h.Instance, outcome)
 	return nil
@@ -44,7 +46,7 @@
 func (s *Sidecar) watchTarget(ctx context.Context) error {
 	duty.Every(ctx, s.settings.Heartbeat/resident.TicksPerHeartbeat, func(now time.Time) {
 		s.mu.Lock()
-		outcome := s.resident.Tick()
+		outcome := s.resident.Tick(now)
 		s.announce(outcome.HasChanged)
 		heardAt := s.heardAt
 		s.mu.Unlock()
@@ -206,8 +208,12 @@
 	case err == nil:
 		s.heardOfStore()
 		s.writer.Written(entry, item.Version)
+		if revision == 0 {
+			s.resident.EntryCreated()
+		}
 		s.parts.Log.Emit(events.EntryWritten, events.F("revision", item.Version),
-			events.F("draining", entry.IsDraining), events.F("left", entry.HasLeft))
+			events.F("draining", entry.IsDraining), events.F("left", entry.HasLeft),
+			events.F("complete", s.resident.IsComplete(time.Now())))
 	case eris.Is(err, store.ErrConflict) && item.Version != revision:
 		s.found(item)
 	default:
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -8,6 +8,7 @@
 	"gentianswitch/internal/opaque/admission"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/resident"
 )
 
 // overdueInterval is the time between two looks for openings that have waited for too long: short beside their 1.2 s.
@@ -86,3 +87,16 @@
 	s.mu.Unlock()
 	s.carryOut(&o.Item.packet, d, o.Item.datagram)
 }
+
+// handOnWaiting gives the openings that wait to their next candidates.
+func (s *Sidecar) handOnWaiting() {
+	for {
+		s.mu.Lock()
+		o, ok := s.openings.Next(time.Now())
+		s.mu.Unlock()
+		if !ok {
+			return
+		}
+		s.carryOut(&o.Item.packet, resident.HandOn(&o.Item.header), o.Item.datagram)
+	}
+}
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -86,8 +86,8 @@
 			s.counters.malformed.Inc(1)
 			return
 		}
-		now := time.Now()
 		s.mu.Lock()
+		now := time.Now()
 		d := s.resident.FromTarget(now, &p)
 		s.mu.Unlock()
 		s.carryOut(&p, d, datagram)
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -41,6 +41,10 @@
 	Service string
 	// Heartbeat is the interval of the target's heartbeats.
 	Heartbeat time.Duration
+	// Grace is the time after which an agent that was told to stop is killed.
+	Grace time.Duration
+	// FlowLifetime is the age from which on flows may be discarded.
+	FlowLifetime time.Duration
 }
 
 // Announcements takes what the target says of itself. The sidecar implements it.
@@ -96,16 +100,20 @@
 	self := hop.IP(settings.Data.Addr().As4())
 	return &Sidecar{
 		settings: settings, parts: parts, self: self, startedAt: time.Now(), counters: newCounters(parts.Scope),
-		changed: make(chan struct{}, 1), board: readers.NewBoard(), resident: resident.New(time.Now(), self, settings.Service),
+		changed: make(chan struct{}, 1), board: readers.NewBoard(),
+		resident: resident.New(time.Now(), self, settings.Service, settings.FlowLifetime),
 	}
 }
 
-// Run serves until stopping ends. It does not wait for flows then: its target may go on, and the next process takes over.
+// Run serves until stopping ends. A target that leaves is served until it has left. Any other goes on, and the next process
+// takes over.
 func (s *Sidecar) Run(stopping context.Context) error {
 	if err := s.open(); err != nil {
 		return err
 	}
-	group := duty.NewGroup(stopping)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	group := duty.NewGroup(ctx)
 	group.Go("receive", s.receiveFrames)
 	group.Go("outbound", s.receiveFromTarget)
 	group.Go("announcements", s.serveAnnouncements)
@@ -113,8 +121,13 @@
 	group.Go("sweep", s.sweep)
 	group.Go("presence", s.watchTarget)
 	group.Go("openings", s.endOverdue)
-	group.Go("close", func(ctx context.Context) error {
-		<-ctx.Done()
+	group.Go("stop", func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-stopping.Done():
+			s.stop(ctx)
+			group.Stop()
+		}
 		_ = s.data.Close()
 		_ = s.outbound.Close()
 		return nil
@@ -124,6 +137,31 @@
 	return err
 }
 
+const (
+	// leaveInterval is the time between two looks whether the target has left.
+	leaveInterval = 50 * time.Millisecond
+	// stopReserve is the part of the grace time that is left for the last call to the store and the end of the process.
+	stopReserve = flushLimit + 100*time.Millisecond
+)
+
+// stop waits while the target leaves, and hands on the openings that wait for it.
+func (s *Sidecar) stop(ctx context.Context) {
+	s.mu.Lock()
+	isLeaving := s.resident.IsLeaving()
+	s.mu.Unlock()
+	s.parts.Log.Emit(events.ProcessStopping, events.F("signal", "term"), events.F("target_leaves", isLeaving))
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Grace-stopReserve)
+	defer cancel()
+	duty.Every(ctx, leaveInterval, func(time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.resident.IsLeaving() {
+			cancel()
+		}
+	})
+	s.handOnWaiting()
+}
+
 func (s *Sidecar) open() error {
 	var err error
 	if s.data, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.settings.Data)); err != nil {
