--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -7,8 +7,8 @@
 	ProcessStarted = define(100, logrus.InfoLevel, "process started",
 		"The process has read its settings and opened its sockets.", "program", "version", "zone")
 	ProcessStopping = define(101, logrus.InfoLevel, "process stopping",
-		"The process received a signal and stops gracefully. An agent of opaque flows serves a target that leaves until it "+
-			"has left.", "signal", "target_leaves")
+		"The process received a signal and stops gracefully. An agent of opaque flows waits while its target leaves or "+
+			"has just joined.", "signal", "waits")
 	ProcessStopped = define(102, logrus.InfoLevel, "process stopped",
 		"The process ends. The key error is present when a duty failed.", "error")
 	KeysLoaded = define(103, logrus.InfoLevel, "keys loaded",
--- a/internal/opaque/forwarder/follow.go
+++ b/internal/opaque/forwarder/follow.go
@@ -159,6 +159,10 @@
 // takeAll reads every target and the routes. The routes are read last, so that no change of them is missed from the
 // returned version on.
 func (f *Forwarder) takeAll(ctx context.Context) (store.Version, error) {
+	began, err := bootTime()
+	if err != nil {
+		return 0, err
+	}
 	items, at, err := f.parts.Store.List(ctx, registry.Prefix)
 	if err != nil {
 		return 0, err
@@ -171,6 +175,7 @@
 		return 0, err
 	}
 	f.takeWhole(items, at)
+	f.confirm(began)
 	f.updateReadiness()
 	return at, nil
 }
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -104,6 +104,8 @@
 	ahead *ring.Ring[ahead]
 	// heldReported is the number of dropped held packets in the metrics. Only the duty report uses it.
 	heldReported int64
+	// confirmation tells whether the view holds the target of every open flow.
+	confirmation confirmation
 	// held are packets that wait for the confirmation that no target holds their flow.
 	held *ring.Ring[heldPacket]
 
@@ -128,7 +130,7 @@
 		informed: make(chan struct{}), held: ring.New[heldPacket](maxHeld),
 		ahead: ring.New[ahead](1), readers: readers.NewChoice(self), roleChanged: make(chan struct{}, 1),
 	}
-	f.changes.read, f.changes.spacing = f.readChanges, confirmSpacing
+	f.changes.read, f.changes.clock, f.changes.spacing = f.readChanges, bootTime, confirmSpacing
 	f.asking, f.told = semaphore.NewWeighted(maxAsking), ring.New[told](1)
 	return f
 }
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -75,7 +75,7 @@
 	case steer.Drop:
 		f.logDropped(p, d)
 	case steer.Confirm:
-		f.hold(datagram, &d.Header)
+		f.confirmOrHold(p, &d.Header, datagram)
 	}
 }
 
--- a/internal/opaque/proof/world_test.go
+++ b/internal/opaque/proof/world_test.go
@@ -34,7 +34,9 @@
 	zone    string
 	agent   *resident.Resident
 	// writer is what the store holds of the VM's entry.
-	writer   registry.Writer
+	writer registry.Writer
+	// joinedAt is when the store was told of the target.
+	joinedAt time.Time
 	instance int64
 	sequence int64
 	// flows are those that the target holds.
@@ -54,6 +56,8 @@
 type balancer struct {
 	steer     *steer.Steer
 	directory *directory.Directory
+	// confirmedAt is when it has last read all targets.
+	confirmedAt time.Time
 }
 
 // world is a deployment.
@@ -90,11 +94,15 @@
 	for range 2 {
 		w.balancers = append(w.balancers, w.newBalancer())
 	}
+	w.now = w.now.Add(registry.JoinDelay)
 	return w
 }
 
 func (w *world) addHost(n byte, service string) {
 	h := &host{ip: hop.IP{10, 1, 0, n}, service: service, zone: rapid.SampledFrom(zones).Draw(w.t, "zone")}
+	if err := h.writer.Found(nil, 0); err != nil {
+		w.t.Fatal(err)
+	}
 	w.hosts = append(w.hosts, h)
 	w.startHost(h)
 }
@@ -153,7 +161,12 @@
 	}
 	w.revision++
 	entry, replaced := h.writer.Entry()
+	if joins := h.writer.Joins(); joins {
+		h.agent.SetJoining(w.now, true)
+		h.joinedAt = w.now
+	}
 	h.writer.Written(entry, w.revision)
+	h.agent.SetJoining(w.now, false)
 	if replaced == 0 {
 		h.agent.EntryCreated()
 	}
@@ -169,6 +182,7 @@
 	}})
 	b.steer.Apply(w.now, table)
 	w.sync(b)
+	b.confirmedAt = w.now
 	return b
 }
 
@@ -274,7 +288,10 @@
 			}
 			return result{isReset: true}
 		case steer.Confirm:
-			w.sync(b)
+			if w.now.Sub(b.confirmedAt) >= registry.JoinDelay {
+				w.sync(b)
+				b.confirmedAt = w.now
+			}
 			d = b.steer.Confirmed(w.now, &p, &d.Header)
 			continue
 		case steer.Drop:
@@ -317,6 +334,8 @@
 			d = at.agent.FromTarget(w.now, &bounced)
 		}
 		switch d.Verdict {
+		case resident.Wait:
+			return nil, hop.Header{}, true
 		case resident.PassOn:
 			agent, h = d.Next, d.Header
 		case resident.GiveBack:
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -79,5 +80,10 @@
 	return e, nil
 }
 
+// JoinDelay is the time for which a target takes no flow after the store has its entry. A view of the targets that was read from
+// the store at most this long ago holds the target of every flow that is open. It bounds the readings of a group of balancers to
+// four a second, and what a target that joins serves later.
+const JoinDelay = 250 * time.Millisecond
+
 // maxSlots bounds the slots that an entry may claim: far above any target's, so that a corrupt one takes no share.
 const maxSlots = 1 << 16
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -32,10 +32,10 @@
 	// none that can be read.
 	desired, stored Entry
 	revision        store.Version
-	// isUncertain is set after a call whose outcome is not known.
-	isUncertain bool
-	failures    int
-	notBefore   time.Time
+	// isRead is set once it is known what the store holds, isUncertain after a call whose outcome is not known.
+	isRead, isUncertain bool
+	failures            int
+	notBefore           time.Time
 }
 
 // Want sets what the store has to hold.
@@ -43,7 +43,7 @@
 
 // IsSettled reports whether the store holds what is wanted as far as is known.
 func (w *Writer) IsSettled() bool {
-	return w.desired == Entry{} || !w.isUncertain && w.stored.isAsWanted(w.desired)
+	return w.desired == Entry{} || w.isKnown() && w.stored.isAsWanted(w.desired)
 }
 
 // Next returns the call that is due, or Rest and the time until one may be.
@@ -53,7 +53,7 @@
 		return Rest, 0
 	case now.Before(w.notBefore):
 		return Rest, w.notBefore.Sub(now)
-	case w.isUncertain:
+	case !w.isKnown():
 		return Read, 0
 	default:
 		return Write, 0
@@ -64,12 +64,20 @@
 // has been there.
 func (w *Writer) Entry() (Entry, store.Version) {
 	e := w.desired
-	if stays := !e.HasLeft && !w.stored.HasLeft && w.stored.Service == e.Service; stays {
+	if !e.HasLeft && w.isThere() {
 		e.Joined = uint64(w.stored.JoinedAt(w.revision))
 	}
 	return e, w.revision
 }
 
+// isThere reports whether the store holds a target of the wanted service.
+func (w *Writer) isThere() bool { return !w.stored.HasLeft && w.stored.Service == w.desired.Service }
+
+// Joins reports whether the next write makes the target known to balancers, which did not know it before.
+func (w *Writer) Joins() bool { return w.isKnown() && !w.desired.HasLeft && !w.isThere() }
+
+func (w *Writer) isKnown() bool { return w.isRead && !w.isUncertain }
+
 // Found takes the value that a read has found, or that has refused a write by its revision. A revision of zero means that
 // there is none. A value that cannot be read is replaced.
 func (w *Writer) Found(value []byte, revision store.Version) error {
@@ -83,7 +91,7 @@
 
 // Written takes the entry that the store holds at a revision.
 func (w *Writer) Written(e Entry, revision store.Version) {
-	w.stored, w.revision, w.isUncertain, w.failures = e, revision, false, 0
+	w.stored, w.revision, w.isRead, w.isUncertain, w.failures = e, revision, true, false, 0
 }
 
 // Failed takes a call whose outcome is not known. The entry is read again before it is written.
--- a/internal/opaque/resident/openings.go
+++ b/internal/opaque/resident/openings.go
@@ -25,7 +25,11 @@
 
 // opens returns the decision for a packet that opens a flow which the target does not hold.
 func (r *Resident) opens(now time.Time, id flow.ID, h *hop.Header) Decision {
-	if reason := r.target.refusal(now); reason != Accepting {
+	reason := r.target.refusal(now)
+	if isLast := h.Count == 0 && h.Busy == 0 && !h.IsCopy; isLast && reason == Joining {
+		return Decision{Verdict: Wait, Reason: Joining, Header: *h, TellOrigin: h.Hops > 0}
+	}
+	if reason != Accepting {
 		return decline(h, reason)
 	}
 	if !h.IsSettled && r.isBusy(now) {
@@ -35,7 +39,7 @@
 	}
 	// The most urgent flows do not wait: the requests on flows that are open already would overtake them. Others do not
 	// overtake those that wait.
-	if h.Deferral > 0 && (r.queued > 0 || !r.HasRoom()) {
+	if h.Deferral > 0 && (r.queued > 0 || !r.HasRoom(now)) {
 		return Decision{Verdict: Wait, Reason: Busy, Header: *h, TellOrigin: h.Hops > 0}
 	}
 	return r.offer(now, id, h)
@@ -140,7 +144,10 @@
 
 // HasRoom reports whether a new request would run at once or wait only briefly at the target. Before the target has
 // told its slots there is always room.
-func (r *Resident) HasRoom() bool {
+func (r *Resident) HasRoom(now time.Time) bool {
+	if r.target.joins(now) {
+		return false
+	}
 	return !r.target.isKnown || r.waiting < roomFactor*max(r.target.last.Slots, 1)
 }
 
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -51,13 +51,14 @@
 	Forgotten
 	NotHeld
 	Stopping
+	Joining
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
 		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy", "forgotten",
-		"not_held", "stopping",
+		"not_held", "stopping", "joining",
 	}[r]
 }
 
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -46,6 +46,9 @@
 	heartbeatAt time.Time
 	// silentTicks counts the ticks since the last sign of life, up to absentTicks.
 	silentTicks int
+	// isJoining is set while the store may or may not hold the entry that makes the target known, joinedAt when it did.
+	isJoining bool
+	joinedAt  time.Time
 	// isMissed is set from the tick that has found the target silent until its next heartbeat.
 	isMissed bool
 }
@@ -61,6 +64,8 @@
 		return Absent
 	case t.isKnown && t.last.IsDraining:
 		return Draining
+	case t.joins(now):
+		return Joining
 	case t.isWaiting && now.Sub(t.offeredAt) > acceptLimit && now.Sub(t.offeredAt) < retryInterval:
 		return Silent
 	default:
@@ -68,6 +73,11 @@
 	}
 }
 
+// joins reports whether balancers may not know the target that reset flows.
+func (t *target) joins(now time.Time) bool {
+	return t.isJoining || now.Sub(t.joinedAt) < registry.JoinDelay
+}
+
 func (t *target) offered(now time.Time) {
 	if t.isWaiting && now.Sub(t.offeredAt) <= acceptLimit {
 		return
@@ -137,9 +147,19 @@
 	return Outcome{HasChanged: before != r.Entry(), Ended: r.lost(now), Former: t.last.Instance}
 }
 
-// IsLeaving reports whether the target ends its flows and has not left yet.
-func (r *Resident) IsLeaving() bool {
-	return r.target.isKnown && r.target.last.IsDraining && !r.target.isAbsent()
+// SetJoining tells whether the entry that makes the target known is being written.
+func (r *Resident) SetJoining(now time.Time, isJoining bool) {
+	if r.target.isJoining && !isJoining {
+		r.target.joinedAt = now
+	}
+	r.target.isJoining = isJoining
+}
+
+// MayStop reports whether the agent may end: its target does not end its flows at the moment, and balancers have had the time to
+// learn of it, which the next process would not know.
+func (r *Resident) MayStop(now time.Time) bool {
+	isLeaving := r.target.isKnown && r.target.last.IsDraining && !r.target.isAbsent()
+	return !isLeaving && !r.target.joins(now)
 }
 
 // Leave takes the end of an instance, and reports whether it is that of the target.
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -146,6 +146,9 @@
 func (s *Sidecar) stepEntry(ctx context.Context) {
 	s.mu.Lock()
 	step, wait := s.writer.Next(time.Now())
+	if step == registry.Write {
+		s.noteJoining()
+	}
 	entry, revision := s.writer.Entry()
 	s.mu.Unlock()
 	switch step {
@@ -158,6 +161,9 @@
 	}
 }
 
+// noteJoining tells whether the next write makes the target known. The caller holds mu and knows what the store holds.
+func (s *Sidecar) noteJoining() { s.resident.SetJoining(time.Now(), s.writer.Joins()) }
+
 // rest waits for a change of the entry, or for at most wait when it is not zero.
 func (s *Sidecar) rest(ctx context.Context, wait time.Duration) {
 	var due <-chan time.Time
@@ -191,7 +197,9 @@
 
 // found takes the entry that the store holds. The caller holds mu.
 func (s *Sidecar) found(item store.Item) {
-	if err := s.writer.Found(item.Value, item.Version); err != nil {
+	err := s.writer.Found(item.Value, item.Version)
+	s.noteJoining()
+	if err != nil {
 		s.parts.Log.Emit(events.TargetEntryRefused, events.F("key", item.Key), events.F("revision", item.Version), events.Err(err))
 	}
 }
@@ -208,6 +216,7 @@
 	case err == nil:
 		s.heardOfStore()
 		s.writer.Written(entry, item.Version)
+		s.noteJoining()
 		if revision == 0 {
 			s.resident.EntryCreated()
 		}
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -53,10 +53,10 @@
 
 // hasRoom reports whether the target has room once flows without a caller are left out. The caller holds mu.
 func (s *Sidecar) hasRoom(now time.Time) bool {
-	if !s.resident.HasRoom() {
+	if !s.resident.HasRoom(now) {
 		s.resident.Sweep(now)
 	}
-	return s.resident.HasRoom()
+	return s.resident.HasRoom(now)
 }
 
 // endOverdue gives flows up whose callers are about to, until ctx ends.
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -138,27 +138,30 @@
 }
 
 const (
-	// leaveInterval is the time between two looks whether the target has left.
-	leaveInterval = 50 * time.Millisecond
+	// stopInterval is the time between two looks whether the agent may end.
+	stopInterval = 50 * time.Millisecond
 	// stopReserve is the part of the grace time that is left for the last call to the store and the end of the process.
 	stopReserve = flushLimit + 100*time.Millisecond
 )
 
-// stop waits while the target leaves, and hands on the openings that wait for it.
+// stop waits until the agent may end, and hands on the openings that wait for its target.
 func (s *Sidecar) stop(ctx context.Context) {
-	s.mu.Lock()
-	isLeaving := s.resident.IsLeaving()
-	s.mu.Unlock()
-	s.parts.Log.Emit(events.ProcessStopping, events.F("signal", "term"), events.F("target_leaves", isLeaving))
-	ctx, cancel := context.WithTimeout(ctx, s.settings.Grace-stopReserve)
-	defer cancel()
-	duty.Every(ctx, leaveInterval, func(time.Time) {
+	mayStop := func(now time.Time) bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if !s.resident.IsLeaving() {
-			cancel()
-		}
-	})
+		return s.resident.MayStop(now)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Grace-stopReserve)
+	defer cancel()
+	isNow := mayStop(time.Now())
+	s.parts.Log.Emit(events.ProcessStopping, events.F("signal", "term"), events.F("waits", !isNow))
+	if !isNow {
+		duty.Every(ctx, stopInterval, func(now time.Time) {
+			if mayStop(now) {
+				cancel()
+			}
+		})
+	}
 	s.handOnWaiting()
 }
 
