--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -155,8 +155,8 @@
 // order tells which of two flows is served before the other at a moment.
 type order struct {
 	now time.Time
-	// isOverloaded is set when a flow has missed its objective. From then on the newest of those in time goes first: in the
-	// order of arrival, every flow would be served when it is about to miss its objective as well.
+	// isOverloaded is set when a flow has missed its objective. From then on the newest flow goes first: in the order of
+	// arrival, every flow would be served when it is about to miss its objective as well.
 	isOverloaded bool
 }
 
@@ -171,18 +171,16 @@
 	return o
 }
 
-// before reports whether a is served before b: who can still be in time, then the more urgent route. A flow that has missed its
-// objective loses little by waiting on; one that is in time would miss it. Of those that are late, who has come first is next to
-// leave.
+// before reports whether a is served before b: the more urgent route, then who can still be in time, then who has come
+// first, or last in an overload.
 func before[T any](o order, a, b *waiting[T]) bool {
-	isInTime := a.isInTime(o.now)
-	if isInTime != b.isInTime(o.now) {
-		return isInTime
-	}
 	if a.opening.Urgency.Deferral != b.opening.Urgency.Deferral {
 		return a.opening.Urgency.Deferral < b.opening.Urgency.Deferral
 	}
-	if isInTime && o.isOverloaded {
+	if inTime := a.isInTime(o.now); inTime != b.isInTime(o.now) {
+		return inTime
+	}
+	if o.isOverloaded {
 		return a.born.After(b.born)
 	}
 	return a.born.Before(b.born)
