--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -78,12 +78,17 @@
 	return g.HasRoom(now)
 }
 
-// Overdue returns an opening whose caller is about to give up. It reports false when there is none.
+// Overdue returns an opening whose caller is about to give it up. The target takes it when it can still answer within the
+// objective: once the flow is open, its caller goes on waiting. It reports false when there is none.
 func (g *Gate[T]) Overdue(now time.Time) (Released[T], bool) {
 	overdue, ok := g.openings.Overdue(now)
 	if !ok {
 		return Released[T]{}, false
 	}
+	h := &overdue.Item.header
+	if left := overdue.Urgency.Objective - admission.MaxAge; g.AnswersWithin(left) {
+		return released(now, &overdue, g.Offer(now, overdue.ID, h)), true
+	}
 	return g.giveUp(now, &overdue), true
 }
 
--- a/internal/opaque/resident/openings.go
+++ b/internal/opaque/resident/openings.go
@@ -10,17 +10,12 @@
 
 // Bounds of the load of a target.
 const (
-	// roomFactor is the number of waiting flows for each slot up to which new flows are given to the target: as many
-	// requests wait there as run.
-	roomFactor = 2
 	// fullLoad is the load of a target all of whose slots are in use: fine enough to tell targets apart, and loads up to
 	// eight times as high fit a byte.
 	fullLoad = 32
 	// maxBusy is the number of busy targets after which an opening goes to the least loaded of them. The gain of further
 	// ones is small (docs/MEASUREMENTS.md), and each costs a hop.
 	maxBusy = 4
-	// paceSamples is the weight of the past in the running mean: as many answers as a slow start of two seconds has.
-	paceSamples = 32
 )
 
 // opens returns the decision for a packet that opens a flow which the target does not hold.
@@ -37,20 +32,32 @@
 			return d
 		}
 	}
-	// The most urgent flows do not wait: the requests on flows that are open already would overtake them. Others do not
-	// overtake those that wait.
-	if h.Deferral > 0 && (r.queued > 0 || !r.HasRoom(now)) {
+	if r.mustWait(now, h) {
 		return Decision{Verdict: Wait, Reason: Busy, Header: *h, TellOrigin: h.Hops > 0}
 	}
 	return r.offer(now, id, h)
 }
 
-// isBusy reports whether no slot of the target is free.
+// mustWait reports whether an opening waits here rather than at the target. The most urgent flows wait at the target as long as they
+// can be answered in time there, since the requests on flows that are open already would overtake them here. Others do not
+// overtake those that wait.
+func (r *Resident) mustWait(now time.Time, h *hop.Header) bool {
+	if h.Deferral == 0 {
+		return !r.HasRoom(now) && r.waiting >= r.pace.servedWithin(time.Duration(h.Objective)*time.Millisecond, r.target.last.Slots)
+	}
+	return r.queued > 0 || !r.HasRoom(now)
+}
+
+// isBusy reports whether no slot of the target is free. A flow that opens will use one for a part of the time.
 func (r *Resident) isBusy(now time.Time) bool {
-	if r.load() >= fullLoad && now.Sub(r.sweptAt) >= openLimit/2 {
+	usesAll := func() bool {
+		used := float64(r.asked+r.queued) + float64(r.waiting-r.asked)*r.pace.slotShare()
+		return r.target.isKnown && used >= float64(max(r.target.last.Slots, 1))
+	}
+	if usesAll() && now.Sub(r.sweptAt) >= openLimit/2 {
 		r.Sweep(now)
 	}
-	return r.load() >= fullLoad
+	return usesAll()
 }
 
 // passOver looks for a target with a free slot among the next candidates. When maxBusy of them have none, the least loaded
@@ -117,29 +124,18 @@
 // HandOn returns the decision for a packet that opens a flow and waits at an agent that ends.
 func HandOn(h *hop.Header) Decision { return decline(h, Stopping) }
 
+// AnswersWithin reports whether the target would answer another flow in a time, as far as is known.
+func (r *Resident) AnswersWithin(left time.Duration) bool {
+	return r.pace.isKnown() && r.waiting < r.pace.servedWithin(left, r.target.last.Slots)
+}
+
 // Capacity returns the number of requests that the target answers in a time while all of its slots are in use, or 0 when
 // that is not known.
 func (r *Resident) Capacity(in time.Duration) int {
-	if r.pace == 0 {
+	if r.pace.run == 0 {
 		return 0
 	}
-	return max(int(in/r.pace), 1)
-}
-
-// measurePace takes the moment of an answer. Two answers in a row count when all slots were in use between them.
-func (r *Resident) measurePace(now time.Time) {
-	isFull := r.target.isKnown && r.waiting >= r.target.last.Slots
-	if isFull && !r.answeredAt.IsZero() {
-		took := now.Sub(r.answeredAt)
-		if r.pace == 0 {
-			r.pace = took
-		}
-		r.pace += (took - r.pace) / paceSamples
-	}
-	r.answeredAt = time.Time{}
-	if isFull {
-		r.answeredAt = now
-	}
+	return max(int(in*time.Duration(r.target.last.Slots)/r.pace.run), 1)
 }
 
 // HasRoom reports whether a new request would run at once or wait only briefly at the target. Before the target has
@@ -148,7 +144,8 @@
 	if r.target.joins(now) {
 		return false
 	}
-	return !r.target.isKnown || r.waiting < roomFactor*max(r.target.last.Slots, 1)
+	slots := max(r.target.last.Slots, 1)
+	return !r.target.isKnown || r.waiting < slots+r.pace.headroom(slots)
 }
 
 // Load returns the number of flows that wait for the target, and its slots.
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -102,10 +102,11 @@
 // held is a flow that the target has accepted.
 type held struct {
 	seen time.Time
-	// acceptedAt is when the target last accepted the flow.
-	acceptedAt   time.Time
-	hinted       time.Time
-	acknowledged uint32
+	// offeredAt is when the target was offered the flow, acceptedAt when it last accepted it, askedAt when its caller last
+	// sent data.
+	offeredAt, acceptedAt, askedAt time.Time
+	hinted                         time.Time
+	acknowledged                   uint32
 	// sent is the sequence number up to which the caller has sent data, valid when hasSent is set.
 	sent    uint32
 	hasSent bool
@@ -114,8 +115,8 @@
 	// isServed is set once the target has sent something on the open flow.
 	isServed bool
 	// isWaiting is set while the caller waits for the target: for its first answer after the handshake, or for the answer
-	// to the data that it has sent.
-	isWaiting bool
+	// to the data that it has sent. hasAsked is set in the latter case, hadSlot when a slot was free then.
+	isWaiting, hasAsked, hadSlot bool
 	// finished holds one bit for each end that has sent its last data.
 	finished uint8
 }
@@ -147,13 +148,11 @@
 	marks           [markSlots]mark
 	// sequence numbers the delivered packets, from 1.
 	sequence uint32
-	// waiting is the number of flows whose isWaiting is set, queued the number of openings that wait for room.
-	waiting, queued int
-	sweptAt         time.Time
-	// pace is the running mean of the time between two answers of a target all of whose slots are in use. answeredAt is
-	// the moment of the last answer that left all slots in use.
-	pace       time.Duration
-	answeredAt time.Time
+	// waiting is the number of flows whose isWaiting is set, asked that of those whose caller has sent a request, queued the
+	// number of openings that wait for room.
+	waiting, asked, queued int
+	sweptAt                time.Time
+	pace                   pace
 }
 
 // New returns the state of an agent at the address self, beside a target that runs a service, that starts now. A flow older
@@ -212,9 +211,13 @@
 	case p.Opens:
 		return false
 	}
+	if !f.isOpen && f.isAccepted {
+		r.pace.opened(now.Sub(f.offeredAt))
+	}
 	f.isOpen, f.acknowledged = f.isAccepted, p.Acknowledged
 	if p.Payload > 0 && f.isNew(p.End()) {
 		r.setWaiting(f, f.finished&targetFinished == 0)
+		r.ask(now, f)
 	}
 	if p.Finishes {
 		f.finished |= callerFinished
@@ -238,9 +241,26 @@
 	f.isWaiting = isWaiting
 	if isWaiting {
 		r.waiting++
-	} else {
-		r.waiting--
+		return
+	}
+	r.waiting--
+	if f.hasAsked {
+		f.hasAsked = false
+		r.asked--
+	}
+}
+
+// ask notes that the caller of a flow that waits has sent data. Of data in several packets the last counts: the target cannot
+// begin before.
+func (r *Resident) ask(now time.Time, f *held) {
+	if !f.isWaiting {
+		return
+	}
+	if !f.hasAsked {
+		f.hasAsked = true
+		r.asked++
 	}
+	f.askedAt, f.hadSlot = now, r.asked <= r.target.last.Slots
 }
 
 // forget removes a flow.
@@ -286,8 +306,10 @@
 func (r *Resident) answered(now time.Time, f *held, p *flow.Packet) {
 	f.seen, f.isServed = now, f.isOpen
 	if f.isWaiting && (p.Payload > 0 || p.Finishes) {
+		hadSlot := f.hasAsked && f.hadSlot
 		r.setWaiting(f, false)
-		r.measurePace(now)
+		slots := r.target.last.Slots
+		r.pace.answered(now, now.Sub(f.askedAt), hadSlot, r.target.isKnown && r.asked >= slots, slots)
 	}
 	if p.Finishes {
 		f.finished |= targetFinished
@@ -298,7 +320,7 @@
 func (r *Resident) hold(now time.Time, id flow.ID) *held {
 	f := r.flows[id]
 	if f == nil {
-		f = &held{seen: now}
+		f = &held{seen: now, offeredAt: now}
 		if len(r.flows) >= maxFlows {
 			r.miss(now)
 			return f
