--- a/cmd/gentian-experiment/main.go
+++ b/cmd/gentian-experiment/main.go
@@ -27,6 +27,9 @@
 }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == crestCommand {
+		return runCrest(args[1:])
+	}
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	deployment := fs.String("deployment", "sierra", "sierra or taiwan")
 	only := fs.String("only", "", "comma-separated `names` of experiments; empty for all")
