--- a/internal/opaque/crest/crest_test.go
+++ b/internal/opaque/crest/crest_test.go
@@ -126,7 +126,7 @@
 		"  - {name: a, per_second: 10, work: 10ms, objective: 1s, deadline: 2s, worth: 1, late: 0.5}\n"
 	for name, test := range map[string]struct{ raw, want string }{
 		"unknown pattern":        {"pattern: sunshine\n", `unknown pattern "sunshine"`},
-		"unknown field":          {"lenght: 2s\n", "line 1"},
+		"unknown field":          {"span: 2s\n", "line 1"},
 		"no duration":            {"length: long\n", "line 1"},
 		"unknown fault":          {classes + "faults:\n  - {kind: rain}\n", "profile.yaml:10: faults, row 1: unknown"},
 		"negative time":          {classes + "faults:\n  - {kind: slow, at: -1s}\n", "profile.yaml:10: faults, row 1: at -1s"},
--- a/internal/opaque/crest/profile.go
+++ b/internal/opaque/crest/profile.go
@@ -96,15 +96,8 @@
 
 // Check reports the first value that is out of range.
 func (p *Profile) Check() error {
-	switch {
-	case p.Length <= 0:
-		return eris.Errorf("length %s, expected a positive duration", p.Length)
-	case p.Zones < 1 || p.Balancers < p.Zones || p.Targets < 1 || p.Slots < 1 || p.Backlog < 0:
-		return eris.New("zones, balancers, targets and slots: expected at least 1, and a balancer for each zone")
-	case p.ColdFor < 0 || p.CallerDelay < 0 || p.NodeDelay < 0 || p.ColdFactor < 1:
-		return eris.New("cold_for, caller_delay, node_delay, cold_factor: expected no negative time and a factor of at least 1")
-	case len(p.Classes) == 0:
-		return eris.New("classes: expected at least one")
+	if err := p.checkDeployment(); err != nil {
+		return err
 	}
 	for i := range p.Classes {
 		if err := p.Classes[i].check(); err != nil {
@@ -119,6 +112,20 @@
 	return nil
 }
 
+func (p *Profile) checkDeployment() error {
+	switch {
+	case p.Length <= 0:
+		return eris.Errorf("length %s, expected a positive duration", p.Length)
+	case p.Zones < 1 || p.Balancers < p.Zones || p.Targets < 1 || p.Slots < 1 || p.Backlog < 0:
+		return eris.New("zones, balancers, targets and slots: expected at least 1, and a balancer for each zone")
+	case p.ColdFor < 0 || p.CallerDelay < 0 || p.NodeDelay < 0 || p.ColdFactor < 1:
+		return eris.New("cold_for, caller_delay, node_delay, cold_factor: expected no negative time and a factor of at least 1")
+	case len(p.Classes) == 0:
+		return eris.New("classes: expected at least one")
+	}
+	return nil
+}
+
 // rowError is an error in a row of a list of the profile.
 type rowError struct {
 	list  string
