--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// maxWaiting bounds the flows that wait at a target: more than come back to one of seven targets when all callers of
-	// a deployment (700 in two seconds of outage) come at once.
+	// maxWaiting bounds the flows that wait at a target whose pace is not known, and their memory.
 	maxWaiting = 256
 	// MaxAge is the age up to which a flow may wait. Callers give an opening packet up after 1.4 s; what is left of that
 	// is for the way and for the handshake.
--- a/internal/opaque/forwarder/confirm.go
+++ b/internal/opaque/forwarder/confirm.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	// maxHeld bounds the packets that wait for a confirmation: the flows of a few hundred callers, whose ends repeat
-	// what is lost, at 1.5 KB each.
+	// maxHeld bounds the packets that wait for a confirmation, at 1.5 KB each. Callers repeat what is lost.
 	maxHeld = 512
 	// confirmSpacing is the least time between a confirmation that fails and the next, and between two readings of a reader for
 	// its group: well below the 200 ms after which callers repeat packets.
--- a/internal/opaque/resident/openings.go
+++ b/internal/opaque/resident/openings.go
@@ -13,8 +13,7 @@
 	// fullLoad is the load of a target all of whose slots are in use: fine enough to tell targets apart, and loads up to
 	// eight times as high fit a byte.
 	fullLoad = 32
-	// maxBusy is the number of busy targets after which an opening goes to the least loaded of them. The gain of further
-	// ones is small (docs/MEASUREMENTS.md), and each costs a hop.
+	// maxBusy is the number of busy targets after which an opening goes to the least loaded of them. Each costs a hop.
 	maxBusy = 4
 )
 
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -78,10 +78,10 @@
 
 // Bounds of the flow table and of the marks.
 const (
-	// maxFlows is twice the connections that a target holds (2000), so that half-open flows have room as well.
+	// maxFlows bounds the flows of a target, half-open ones among them.
 	maxFlows = 4096
-	// markSlots is the number of packets that can be at the target at once: far above 16 packets in flight on the few
-	// hundred flows that are active in the milliseconds until a target bounces a packet. A power of two.
+	// markSlots bounds the packets that can be at the target at once and still be passed on when it bounces them. A power of
+	// two.
 	markSlots = 4096
 	// waitLimit is the time after which a flow without packets no longer counts as waiting: its caller has left. Callers
 	// repeat unanswered packets at least every 1.6 s.
@@ -89,8 +89,8 @@
 	// openingLifetime is the time for which callers repeat an opening (1.4 s), and a margin for its way. An agent that
 	// started later than that ago may have known the flow in its former run.
 	openingLifetime = 2 * time.Second
-	// openLimit is the time in which a caller that is there completes the handshake: far above a round trip to callers,
-	// which is 2 to 6 ms. Later the flow no longer counts as waiting.
+	// openLimit bounds the round trip to a caller that is there. A flow that has not opened by then no longer counts as waiting:
+	// its caller has left, or repeats its opening 200 ms after the first.
 	openLimit = 100 * time.Millisecond
 	// closedLimit is the time for which a finished flow is remembered: the longest retransmission interval of its ends.
 	closedLimit = 2 * time.Second
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -8,8 +8,8 @@
 
 // Times that tell whether the target lives.
 const (
-	// acceptLimit is the time in which a target answers an opening packet. A healthy one needs under 1 ms; callers
-	// repeat the packet after 200 ms, and that copy has to find another target.
+	// acceptLimit is the time in which a target answers an opening packet. Callers repeat the packet after 200 ms, and that
+	// copy has to find another target.
 	acceptLimit = 80 * time.Millisecond
 	// retryInterval is the time after which a target that has been silent is offered a flow again.
 	retryInterval = 300 * time.Millisecond
