--- a/integration/opaque_stop_test.go
+++ b/integration/opaque_stop_test.go
@@ -43,6 +43,18 @@
 		Expect(agent.logText()).To(ContainSubstring(`"event":315,"left":true`), "the store has to know")
 	})
 
+	It("tells the store first that a target has not come back after a loss of power", func() {
+		d := newOpaqueDeployment(1, 2)
+		_, agent, target := served(d)
+		Expect(target.Drain()).To(Succeed())
+		target.Crash()
+		agent.restart()
+		Eventually(agent.logText).WithTimeout(patience).Should(ContainSubstring("process started"))
+		agent.signal(syscall.SIGTERM)
+		Eventually(agent.ended).WithTimeout(patience).Should(BeClosed())
+		Expect(agent.logText()).To(ContainSubstring(`"left":true`))
+	})
+
 	It("ends at once when its target goes on", func() {
 		d := newOpaqueDeployment(1, 2)
 		_, agent, _ := served(d)
--- a/internal/opaque/resident/join_test.go
+++ b/internal/opaque/resident/join_test.go
@@ -47,27 +47,51 @@
 	g.Expect(r.FromNode(after(1), data(1, 200), frame(next)).Verdict).To(Equal(resident.Deliver))
 }
 
+// The pattern is a release that a loss of power interrupts: VMs are taken away whose targets have not come back.
+func TestAnAgentStaysUntilTheStoreHoldsTheEndOfItsTarget(t *testing.T) {
+	g := NewWithT(t)
+	r := resident.New(start, here, "pedidos", flowLifetime)
+	never(r)
+	g.Expect(r.MayStop(start, false)).To(BeFalse())
+	r.Heartbeat(start, heartbeat(1))
+	g.Expect(r.MayStop(start, false)).To(BeTrue(), "the next process writes that it is here")
+}
+
 func TestWhenAnAgentMayStop(t *testing.T) {
 	for name, test := range map[string]struct {
 		give    func(r *resident.Resident)
 		mayStop bool
 	}{
-		"nothing is known of the target": {func(*resident.Resident) {}, true},
-		"the target goes on":             {func(r *resident.Resident) { r.Heartbeat(start, heartbeat(1)) }, true},
-		"the target leaves":              {func(r *resident.Resident) { r.Heartbeat(start, draining(1)) }, false},
-		"the target has left":            {func(r *resident.Resident) { r.Heartbeat(start, draining(1)); r.Leave("i-1") }, true},
+		"it is not known whether there is one": {func(*resident.Resident) {}, false},
+		"there is none":                        {func(r *resident.Resident) { never(r) }, true},
+		"the store has just been told so":      {func(r *resident.Resident) { never(r); r.SetLeft(after(-1299)) }, false},
+		"balancers know that it has left":      {func(r *resident.Resident) { never(r); r.SetLeft(after(-1300)) }, true},
+		"the target goes on":                   {func(r *resident.Resident) { r.Heartbeat(start, heartbeat(1)) }, true},
+		"the target leaves":                    {func(r *resident.Resident) { r.Heartbeat(start, draining(1)) }, false},
+		"the target has left":                  {func(r *resident.Resident) { r.Heartbeat(start, draining(1)); r.Leave("i-1") }, true},
 		"the target leaves and is silent": {func(r *resident.Resident) {
 			giveUp(r)
 			r.Tick(start)
 		}, true},
-		"the target joins":         {func(r *resident.Resident) { r.SetJoining(start, true) }, false},
-		"the target has joined":    {func(r *resident.Resident) { r.SetJoining(start, true); r.SetJoining(start, false) }, false},
-		"the target joined before": {func(r *resident.Resident) { r.SetJoining(after(-joinMS), true); r.SetJoining(after(-joinMS), false) }, true},
+		"the target joins":      {func(r *resident.Resident) { r.SetJoining(start, true) }, false},
+		"the target has joined": {func(r *resident.Resident) { r.SetJoining(start, true); r.SetJoining(start, false) }, false},
+		"the target joined before": {func(r *resident.Resident) {
+			r.Heartbeat(start, heartbeat(1))
+			r.SetJoining(after(-joinMS), true)
+			r.SetJoining(after(-joinMS), false)
+		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := resident.New(start, here, "pedidos", flowLifetime)
 			test.give(r)
-			NewWithT(t).Expect(r.MayStop(start)).To(Equal(test.mayStop))
+			NewWithT(t).Expect(r.MayStop(start, true)).To(Equal(test.mayStop))
 		})
 	}
 }
+
+// never lets the time pass in which an agent hears its target, if there is one.
+func never(r *resident.Resident) {
+	for range absentTicks {
+		r.Tick(start)
+	}
+}
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -15,6 +15,9 @@
 	retryInterval = 300 * time.Millisecond
 	// TicksPerHeartbeat is the number of ticks in the interval of the target's heartbeats.
 	TicksPerHeartbeat = 2
+	// leaveDelay is the time in which balancers learn that a target has left: those that follow the store within a second, the
+	// others from them.
+	leaveDelay = 1300 * time.Millisecond
 	// absentTicks is the number of ticks without a sign of the target after which it counts as gone: two heartbeats that
 	// failed, and half an interval for the spread of their times. Ticks are counted, not time, since an agent that has
 	// stood still has heard nothing.
@@ -49,6 +52,8 @@
 	// isJoining is set while the store may or may not hold the entry that makes the target known, joinedAt when it did.
 	isJoining bool
 	joinedAt  time.Time
+	// leftAt is when the store was told that the target has left.
+	leftAt time.Time
 	// isMissed is set from the tick that has found the target silent until its next heartbeat.
 	isMissed bool
 }
@@ -155,11 +160,18 @@
 	r.target.isJoining = isJoining
 }
 
-// MayStop reports whether the agent may end: its target does not end its flows at the moment, and balancers have had the time to
-// learn of it, which the next process would not know.
-func (r *Resident) MayStop(now time.Time) bool {
-	isLeaving := r.target.isKnown && r.target.last.IsDraining && !r.target.isAbsent()
-	return !isLeaving && !r.target.joins(now)
+// SetLeft tells that the store holds the end of the target.
+func (r *Resident) SetLeft(now time.Time) { r.target.leftAt = now }
+
+// MayStop reports whether the agent may end. It waits while the target ends its flows, while it is not known whether there is one
+// (after a loss of power a target that was leaving does not come back, and nobody else can say so), and while balancers learn that
+// it has joined or left: they would look for flows at an agent that is gone. isWritten tells whether the store holds what it has to.
+func (r *Resident) MayStop(now time.Time, isWritten bool) bool {
+	t := &r.target
+	isUnknown := !t.isKnown && !t.isAbsent()
+	isLeaving := t.isKnown && t.last.IsDraining && !t.isAbsent()
+	isUntold := t.isAbsent() && (!isWritten || now.Sub(t.leftAt) < leaveDelay)
+	return !isUnknown && !isLeaving && !isUntold && !t.joins(now)
 }
 
 // Leave takes the end of an instance, and reports whether it is that of the target.
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -220,6 +220,9 @@
 		if revision == 0 {
 			s.gate.EntryCreated()
 		}
+		if entry.HasLeft {
+			s.gate.SetLeft(time.Now())
+		}
 		s.parts.Log.Emit(events.EntryWritten, events.F("revision", item.Version),
 			events.F("draining", entry.IsDraining), events.F("left", entry.HasLeft),
 			events.F("complete", s.gate.IsComplete(time.Now())))
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -148,7 +148,7 @@
 	mayStop := func(now time.Time) bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.gate.MayStop(now)
+		return s.gate.MayStop(now, s.writer.IsSettled())
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Grace-stopReserve)
 	defer cancel()
