--- a/internal/opaque/resident/complete_test.go
+++ b/internal/opaque/resident/complete_test.go
@@ -104,6 +104,23 @@
 	g.Expect(r.FromNode(after(30), data(1, 200), frame(next)).Reason).To(Equal(resident.NotHeld))
 }
 
+// The pattern is a target that crashes and restarts within an interval of its heartbeats: operators look for the instance that died.
+func TestAFlowThatEndedWithAFormerInstanceNamesIt(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	open(g, r, after(10), 1)
+	r.FromTarget(after(11), answer(1))
+	next := restarted(1)
+	next.Instance = "i-2"
+	g.Expect(r.Heartbeat(after(20), next).Ended).To(BeEmpty(), "it may be a flow of i-2")
+	bounced := data(1, 200)
+	bounced.Mark = r.FromNode(after(30), data(1, 200), frame()).Mark
+	bounced.IsBounced = true
+	d := r.FromTarget(after(30), bounced)
+	g.Expect(d.Reason).To(Equal(resident.Forgotten))
+	g.Expect(d.Former).To(Equal("i-1"))
+}
+
 func TestAnOpeningThatWaitsAtAnAgentThatEndsGoesToTheNextCandidate(t *testing.T) {
 	g := NewWithT(t)
 	d := resident.HandOn(frame(next))
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -72,6 +72,8 @@
 	Next hop.IP
 	// Header goes with a packet that is passed on or given back.
 	Header hop.Header
+	// Former is the instance that held the flow, for Forgotten.
+	Former string
 	// TellOrigin is set when the balancer that sent the packet has to learn that the flow is here.
 	TellOrigin bool
 }
@@ -154,9 +156,6 @@
 	return d
 }
 
-// Instance returns the instance of the target that was heard of last, or an empty text.
-func (r *Resident) Instance() string { return r.target.last.Instance }
-
 // remember keeps the header of a delivered packet until the target may have bounced it.
 func (r *Resident) remember(h *hop.Header) uint32 {
 	r.sequence++
@@ -191,10 +190,10 @@
 }
 
 func (r *Resident) bounced(p *flow.Packet) Decision {
-	reason := Bounced
+	reason, former := Bounced, ""
 	if f := r.flows[p.FromCaller()]; f != nil && (!p.Opens || !f.isAccepted) {
 		if f.isServed {
-			reason = Forgotten
+			reason, former = Forgotten, r.target.instanceAt(f.acceptedAt)
 		}
 		r.forget(p.FromCaller(), f)
 	}
@@ -203,7 +202,9 @@
 		return Decision{Verdict: Drop, Reason: Stale}
 	}
 	m.sequence = 0
-	return decline(&m.header, reason)
+	d := decline(&m.header, reason)
+	d.Former = former
+	return d
 }
 
 func decline(h *hop.Header, reason Reason) Decision {
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -47,6 +47,9 @@
 	isWaiting bool
 	// heartbeatAt is when the last heartbeat was taken.
 	heartbeatAt time.Time
+	// former is the instance before the last, until followedAt.
+	former     string
+	followedAt time.Time
 	// silentTicks counts the ticks since the last sign of life, up to absentTicks.
 	silentTicks int
 	// isJoining is set while the store may or may not hold the entry that makes the target known, joinedAt when it did.
@@ -117,6 +120,7 @@
 	var ended []Ended
 	if t.isKnown && t.isNewIncarnation(h) {
 		ended = r.lost(t.heartbeatAt)
+		t.former, t.followedAt = t.last.Instance, now
 	}
 	if t.startsHere(h) {
 		r.incompleteUntil = time.Time{}
@@ -127,6 +131,14 @@
 	return Outcome{HasChanged: before != r.Entry(), Ended: ended, Former: former}
 }
 
+// instanceAt returns the instance that the agent knew at a moment.
+func (t *target) instanceAt(at time.Time) string {
+	if at.Before(t.followedAt) {
+		return t.former
+	}
+	return t.last.Instance
+}
+
 func (t *target) isNewIncarnation(h Heartbeat) bool {
 	return h.Instance != t.last.Instance || h.Started != t.last.Started
 }
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -114,7 +114,7 @@
 
 func (s *Sidecar) logPassedOn(p *flow.Packet, d resident.Decision) {
 	if d.Reason == resident.Forgotten {
-		s.logForgotten(p)
+		s.logForgotten(p, d.Former)
 	}
 	if !p.Opens {
 		return
@@ -128,12 +128,9 @@
 		events.Age("heartbeat_ms", time.Now(), s.heartbeatAt()))
 }
 
-// logForgotten tells that the target no longer holds a flow that it has served.
-func (s *Sidecar) logForgotten(p *flow.Packet) {
-	s.mu.Lock()
-	instance := s.gate.Instance()
-	s.mu.Unlock()
-	s.parts.Log.Emit(events.OpaqueFlowEnded, events.F("flow", p.FromCaller().String()), events.F("former", instance),
+// logForgotten tells that the target no longer holds a flow that it, or the instance before it, has served.
+func (s *Sidecar) logForgotten(p *flow.Packet, former string) {
+	s.parts.Log.Emit(events.OpaqueFlowEnded, events.F("flow", p.FromCaller().String()), events.F("former", former),
 		events.F("told", false))
 }
 
