--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -6,17 +6,15 @@
 	"time"
 
 	"gentianswitch/internal/metrics"
+	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/sidecar"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
 	"gentianswitch/platform"
 )
 
-// Times of the users' platform.
-const (
-	defaultGrace        = 6 * time.Second
-	defaultFlowLifetime = time.Minute
-)
+// defaultGrace is the grace time of the users' platform.
+const defaultGrace = 6 * time.Second
 
 // opaqueCommand is the first argument that starts an agent of opaque flows on the users' platform.
 const opaqueCommand = "opaque"
@@ -54,7 +52,7 @@
 	settings.AddrPortVar(fs, &o.announce, "announce", "IPv4 `ip:port` that receives the heartbeats of the target")
 	fs.DurationVar(&o.heartbeat, "heartbeat", time.Second, "interval of the target's heartbeats")
 	fs.DurationVar(&o.grace, "grace", defaultGrace, "`time` after which an agent that was told to stop is killed")
-	fs.DurationVar(&o.flowLifetime, "flow-lifetime", defaultFlowLifetime, "age from which on flows may be discarded")
+	fs.DurationVar(&o.flowLifetime, "flow-lifetime", flow.Lifetime, "age from which on flows may be discarded")
 	settings.AddrPortVar(fs, &o.peer, "peer", "IPv4 `ip:port` whose port is that at which balancers receive frames")
 }
 
--- a/cmd/gentian-experiment/crest.go
+++ b/cmd/gentian-experiment/crest.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -114,15 +115,9 @@
 	var all []outcome
 	for seed := first; seed < first+uint64(count); seed++ {
 		p := crest.Drawn(seed)
-		gain := crest.Play(p, crest.Shipped, seed).Share - crest.Play(p, crest.Arrival, seed).Share
-		all = append(all, outcome{p.Pattern, gain})
+		all = append(all, outcome{p.Pattern, crest.Gain(p, seed)})
 	}
-	slices.SortFunc(all, func(a, b outcome) int {
-		if a.gain < b.gain {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b outcome) int { return cmp.Compare(a.gain, b.gain) })
 	fmt.Printf("%d drawn deployments; share of the credit against the order of arrival, the worst first:\n", count)
 	for _, o := range all[:min(worstShown, len(all))] {
 		fmt.Printf("  %+.4f  %s\n", o.gain, o.pattern)
--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -19,8 +19,8 @@
 	MaxAge = 1200 * time.Millisecond
 )
 
-// Ages of a caller that sends a copy of its opening packet: copies leave after 200 ms and 600 ms.
-var copyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+// CopyAges are the ages of a caller at which it sends its opening packet and the copies of it.
+var CopyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
 // Urgency is what a balancer tells of the route of a flow.
 type Urgency struct {
@@ -64,8 +64,8 @@
 // Add puts a flow into the queue. A copy of a flow that waits only tells how old it is. When the queue is full, the flow
 // that would be served last is returned, and displaced is true.
 func (q *Queue[T]) Add(now time.Time, o Opening[T]) (last Opening[T], displaced bool) {
-	copies := min(int(o.Copies), len(copyAges)-1)
-	born := now.Add(-copyAges[copies])
+	copies := min(int(o.Copies), len(CopyAges)-1)
+	born := now.Add(-CopyAges[copies])
 	for i := range q.flows {
 		if q.flows[i].opening.ID == o.ID {
 			if born.Before(q.flows[i].born) {
@@ -143,7 +143,7 @@
 
 // missesCopies reports whether the caller has sent a packet that has not come here.
 func (w *waiting[T]) missesCopies(now time.Time) bool {
-	for copies, age := range copyAges {
+	for copies, age := range CopyAges {
 		if now.Sub(w.born) >= age && w.seen&(1<<copies) == 0 {
 			return true
 		}
--- a/internal/opaque/crest/bound.go
+++ b/internal/opaque/crest/bound.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"gentianswitch/internal/opaque/admission"
 )
 
 // The bound is the credit that no order of service can pass, also one that knows all arrivals in advance. It is proven by
@@ -60,7 +62,7 @@
 
 // capacities returns the work that all targets together can do in each bin. Targets that a release replaces count as up.
 func capacities(p Profile) []float64 {
-	bins := binAfter(p.Length+maxDeadline(p)) + 1
+	bins := binAfter(p.end()) + 1
 	all := make([]float64, bins)
 	slots := float64(p.Targets * p.Slots)
 	for i := range all {
@@ -120,7 +122,7 @@
 
 // firstCopy returns when a caller that asks at a moment sends the first copy that somebody can hear.
 func firstCopy(born, heardFrom time.Duration) time.Duration {
-	for _, age := range openingCopies {
+	for _, age := range admission.CopyAges {
 		if born+age >= heardFrom {
 			return born + age
 		}
--- a/internal/opaque/crest/callers.go
+++ b/internal/opaque/crest/callers.go
@@ -5,18 +5,15 @@
 	"math/rand/v2"
 	"time"
 
+	"gentianswitch/internal/opaque/admission"
 	"gentianswitch/internal/opaque/flow"
 )
 
-// Times of callers on the users' platform.
-var (
-	// openingCopies are the ages of a caller at which it sends its opening; after openingLimit it gives the try up.
-	openingCopies = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-	// dataCopies are the ages of a packet at which it is sent again.
-	dataCopies = [...]time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, 3000 * time.Millisecond}
-)
+// dataCopies are the ages of a packet with data at which its caller sends it again.
+var dataCopies = [...]time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, 3000 * time.Millisecond}
 
 const (
+	// openingLimit is the age at which a caller gives a flow up that has not opened.
 	openingLimit = 1400 * time.Millisecond
 	// A caller asks again after a pause between these.
 	shortestPause = 15 * time.Millisecond
@@ -39,6 +36,9 @@
 	answered        time.Duration
 }
 
+// isOver reports whether the caller asks no more.
+func (r *request) isOver() bool { return r.isDone || r.isSpent }
+
 // credit returns what the answer is worth.
 func (r *request) credit() float64 {
 	switch {
@@ -150,7 +150,7 @@
 
 // begin starts a try.
 func (a *attempt) begin() {
-	if a.request.isDone || a.request.isSpent {
+	if a.request.isOver() {
 		return
 	}
 	a.tries++
@@ -164,7 +164,7 @@
 	a.id, a.sequence = a.world.newFlow(a.request), 1
 	a.world.callers[a.id] = a
 	try := a.tries
-	for copies, age := range openingCopies {
+	for copies, age := range admission.CopyAges {
 		a.world.after(age, func() {
 			if a.isCurrent(try) && !a.isOpened {
 				a.send(flow.Packet{Opens: true, Copies: uint32(copies)})
@@ -180,7 +180,7 @@
 
 // isCurrent reports whether a try goes on.
 func (a *attempt) isCurrent(try int) bool {
-	return a.tries == try && !a.request.isDone && !a.request.isSpent
+	return a.tries == try && !a.request.isOver()
 }
 
 // newFlow returns a flow from a port of its own.
@@ -223,7 +223,7 @@
 
 // accepted takes the target's acceptance.
 func (a *attempt) accepted() {
-	if a.isOpened || a.request.isDone || a.request.isSpent {
+	if a.isOpened || a.request.isOver() {
 		return
 	}
 	a.isOpened = true
@@ -242,7 +242,7 @@
 
 // answered takes the target's answer.
 func (a *attempt) answered(isSuccess, hasRun bool) {
-	if a.request.isDone || a.request.isSpent {
+	if a.request.isOver() {
 		return
 	}
 	if !isSuccess {
@@ -259,7 +259,7 @@
 	if a.kept != nil && a.kept.id == a.id {
 		a.kept.id = flow.ID{}
 	}
-	if a.request.isDone || a.request.isSpent {
+	if a.request.isOver() {
 		return
 	}
 	a.fail(!a.isOpened)
@@ -281,7 +281,7 @@
 
 // giveUp ends the request at its deadline.
 func (a *attempt) giveUp() {
-	if a.request.isDone || a.request.isSpent {
+	if a.request.isOver() {
 		return
 	}
 	a.request.isSpent = true
--- a/internal/opaque/crest/crest_test.go
+++ b/internal/opaque/crest/crest_test.go
@@ -75,8 +75,7 @@
 		all[i].name = p.Pattern
 		plays.Go(func() {
 			for again := range uint64(drawnPlays) {
-				gain := crest.Play(p, crest.Shipped, again).Share - crest.Play(p, crest.Arrival, again).Share
-				all[i].gain += gain / drawnPlays
+				all[i].gain += crest.Gain(p, again) / drawnPlays
 			}
 		})
 	}
--- a/internal/opaque/crest/hosts.go
+++ b/internal/opaque/crest/hosts.go
@@ -13,13 +13,8 @@
 	"gentianswitch/internal/store"
 )
 
-const (
-	// watchDelay is the time in which balancers learn of a changed entry.
-	watchDelay = 20 * time.Millisecond
-	// overdueInterval and sweepInterval are those of the agent.
-	overdueInterval = 50 * time.Millisecond
-	sweepInterval   = time.Second
-)
+// watchDelay is the time in which balancers learn of a changed entry.
+const watchDelay = 20 * time.Millisecond
 
 // host is a VM with an agent and a target.
 type host struct {
@@ -66,19 +61,19 @@
 	w := h.world
 	h.isAgentUp = true
 	h.agentStart++
-	h.gate = gate.New[*flow.Packet](resident.New(w.clock(), h.ip, serviceName, time.Minute))
+	h.gate = gate.New[*flow.Packet](resident.New(w.clock(), h.ip, serviceName, flow.Lifetime))
 	run := h.agentStart
 	isCurrent := func() bool {
-		return h.isAgentUp && h.agentStart == run && w.now < w.profile.Length+maxDeadline(w.profile)
+		return h.isAgentUp && h.agentStart == run && w.now < w.end
 	}
-	w.every(overdueInterval, func() bool {
+	w.every(gate.OverdueInterval, func() bool {
 		if isCurrent() {
 			h.release(h.gate.Overdue)
 			h.release(h.gate.Next)
 		}
 		return isCurrent()
 	})
-	w.every(sweepInterval, func() bool {
+	w.every(gate.SweepInterval, func() bool {
 		if isCurrent() {
 			h.gate.Sweep(w.clock())
 		}
--- a/internal/opaque/crest/nodes.go
+++ b/internal/opaque/crest/nodes.go
@@ -18,8 +18,6 @@
 	serviceName = "service"
 	// readingTime is the time of a confirmation that has to be read from the store.
 	readingTime = 8 * time.Millisecond
-	// checkInterval is the time between two steps of the reachability check.
-	checkInterval = 75 * time.Millisecond
 )
 
 // node is a balancer.
@@ -56,7 +54,7 @@
 	}
 	n.confirmedAt = w.now
 	run := n.starts
-	w.every(checkInterval, func() bool { return n.check(run) })
+	w.every(directory.TickInterval, func() bool { return n.check(run) })
 }
 
 // learn takes the entry of a target.
@@ -84,7 +82,7 @@
 			}
 		})
 	}
-	return w.now < w.profile.Length+maxDeadline(w.profile)
+	return w.now < w.end
 }
 
 // route returns the balancer that a packet of a zone's caller is sent to.
--- a/internal/opaque/crest/profile.go
+++ b/internal/opaque/crest/profile.go
@@ -112,6 +112,15 @@
 	return nil
 }
 
+// end returns when the last caller has given up.
+func (p *Profile) end() time.Duration {
+	longest := time.Duration(0)
+	for i := range p.Classes {
+		longest = max(longest, p.Classes[i].Deadline)
+	}
+	return p.Length + longest
+}
+
 func (p *Profile) checkDeployment() error {
 	switch {
 	case p.Length <= 0:
--- a/internal/opaque/crest/result.go
+++ b/internal/opaque/crest/result.go
@@ -51,6 +51,11 @@
 	return summarize(p, requests)
 }
 
+// Gain returns by how much more of the credit the shipped policy serves than the order of arrival does.
+func Gain(p Profile, seed uint64) float64 {
+	return Play(p, Shipped, seed).Share - Play(p, Arrival, seed).Share
+}
+
 func summarize(p Profile, requests []*request) Result {
 	r := Result{Asked: len(requests)}
 	windows := windowsOf(p, requests, windowLength)
--- a/internal/opaque/crest/targets.go
+++ b/internal/opaque/crest/targets.go
@@ -35,7 +35,7 @@
 }
 
 func (h *host) beatAgain(instance int64) {
-	if !h.isTargetUp || h.instance != instance || h.world.now > h.world.profile.Length+maxDeadline(h.world.profile) {
+	if !h.isTargetUp || h.instance != instance || h.world.now > h.world.end {
 		return
 	}
 	h.beat()
--- a/internal/opaque/crest/world.go
+++ b/internal/opaque/crest/world.go
@@ -52,8 +52,10 @@
 	profile Profile
 	policy  Policy
 	// random draws what the policy decides on, so that it may be drawn in another order under another policy.
-	random  *rand.Rand
-	now     time.Duration
+	random *rand.Rand
+	now    time.Duration
+	// end is when the last caller has given up.
+	end     time.Duration
 	queue   events
 	pushed  int
 	hosts   []*host
@@ -67,7 +69,7 @@
 func play(p Profile, policy Policy, seed uint64, requests []*request) {
 	w := &world{
 		profile: p, policy: policy, random: rand.New(rand.NewPCG(seed, 2)), callers: make(map[flow.ID]*attempt),
-		ports: make(map[[4]byte]uint16),
+		ports: make(map[[4]byte]uint16), end: p.end(),
 	}
 	for i := range p.Targets {
 		w.hosts = append(w.hosts, w.newHost(i))
@@ -88,21 +90,13 @@
 	for len(w.queue) > 0 {
 		next := heap.Pop(&w.queue).(event)
 		w.now = next.at
-		if w.now > p.Length+maxDeadline(p) {
+		if w.now > w.end {
 			return
 		}
 		next.run()
 	}
 }
 
-func maxDeadline(p Profile) time.Duration {
-	longest := time.Duration(0)
-	for i := range p.Classes {
-		longest = max(longest, p.Classes[i].Deadline)
-	}
-	return longest
-}
-
 func (w *world) at(at time.Duration, run func()) {
 	w.pushed++
 	heap.Push(&w.queue, event{at: max(at, w.now), order: w.pushed, run: run})
--- a/internal/opaque/directory/reach.go
+++ b/internal/opaque/directory/reach.go
@@ -21,6 +21,8 @@
 	rarestPing = 5 * time.Second
 	// pongTimeout bounds the round trip on a link that is not congested.
 	pongTimeout = 150 * time.Millisecond
+	// TickInterval is the time between two calls of Tick.
+	TickInterval = pongTimeout / 2
 	// suspectAfter is the number of unanswered pings in a row that make an agent suspect.
 	suspectAfter = 2
 	// deadAfter is the time without an answer after which an agent gets no new flows. An answer to a ping that is older
--- a/internal/opaque/flow/flow.go
+++ b/internal/opaque/flow/flow.go
@@ -5,10 +5,14 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// Lifetime is the age at which the users' platform lets a flow be discarded.
+const Lifetime = time.Minute
+
 // Endpoint is an IPv4 address and port. It is comparable and small, since one is read from every packet.
 type Endpoint struct {
 	IP   [4]byte
--- a/internal/opaque/forwarder/confirm.go
+++ b/internal/opaque/forwarder/confirm.go
@@ -11,7 +11,6 @@
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/registry"
-	"gentianswitch/internal/opaque/steer"
 	"gentianswitch/internal/store"
 )
 
@@ -39,25 +38,35 @@
 
 func (c *confirmation) holds(now time.Duration) bool { return now < c.until }
 
+// isConfirmed reports whether the view holds the target of every flow that is open now.
+func (f *Forwarder) isConfirmed() (bool, error) {
+	now, err := bootTime()
+	if err != nil {
+		return false, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmation.holds(now), nil
+}
+
 // confirmOrHold decides on a packet whose walk has ended in vain: at once while the view is confirmed, else when the targets have
 // been read anew.
 func (f *Forwarder) confirmOrHold(p *flow.Packet, h *hop.Header, datagram []byte) {
-	now, err := bootTime()
-	if err != nil {
+	switch isConfirmed, err := f.isConfirmed(); {
+	case err != nil:
 		f.parts.Log.Emit(events.OpaquePacketsHeldLost, events.F("packets", 1), events.Err(err))
-		return
+	case isConfirmed:
+		f.decideConfirmed(p, h, datagram)
+	default:
+		f.held.TryPut(heldPacket{datagram: hop.Copy(datagram), header: *h})
 	}
+}
+
+// decideConfirmed decides on a packet that arrived before the view was confirmed, or while it is.
+func (f *Forwarder) decideConfirmed(p *flow.Packet, h *hop.Header, datagram []byte) {
 	f.mu.Lock()
-	isConfirmed := f.confirmation.holds(now)
-	var d steer.Decision
-	if isConfirmed {
-		d = f.steer.Confirmed(time.Now(), p, h)
-	}
+	d := f.steer.Confirmed(time.Now(), p, h)
 	f.mu.Unlock()
-	if !isConfirmed {
-		f.hold(datagram, h)
-		return
-	}
 	f.carryOut(p, d, datagram)
 }
 
@@ -67,13 +76,6 @@
 	header   hop.Header
 }
 
-// hold keeps a copy of a packet until the targets have been read anew.
-func (f *Forwarder) hold(datagram []byte, h *hop.Header) {
-	// The copy has room for a trailer.
-	kept := append(make([]byte, 0, len(datagram)+hop.MaxTrailer), datagram...)
-	f.held.TryPut(heldPacket{datagram: kept, header: *h})
-}
-
 // confirmAll decides on held packets until ctx ends. Those that arrive during a reading are decided by it as well.
 func (f *Forwarder) confirmAll(ctx context.Context) error {
 	for {
@@ -102,25 +104,15 @@
 			f.counters.malformed.Inc(1)
 			continue
 		}
-		f.mu.Lock()
-		d := f.steer.Confirmed(time.Now(), &p, &h.header)
-		f.mu.Unlock()
-		f.carryOut(&p, d, h.datagram)
+		f.decideConfirmed(&p, &h.header, h.datagram)
 	}
 }
 
 // confirmView makes sure that the view is confirmed for the packets that have arrived before.
 func (f *Forwarder) confirmView(ctx context.Context) error {
-	now, err := bootTime()
-	if err != nil {
+	if isConfirmed, err := f.isConfirmed(); err != nil || isConfirmed {
 		return err
 	}
-	f.mu.Lock()
-	isConfirmed := f.confirmation.holds(now)
-	f.mu.Unlock()
-	if isConfirmed {
-		return nil
-	}
 	return f.renewTargets(ctx)
 }
 
--- a/internal/opaque/forwarder/path.go
+++ b/internal/opaque/forwarder/path.go
@@ -8,6 +8,7 @@
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/desired"
+	"gentianswitch/internal/opaque/directory"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/socket"
@@ -201,13 +202,10 @@
 
 // checkAll pings agents until ctx ends.
 func (f *Forwarder) checkAll(ctx context.Context) error {
-	duty.Every(ctx, checkInterval, f.check)
+	duty.Every(ctx, directory.TickInterval, f.check)
 	return nil
 }
 
-// checkInterval is half of the shortest time that the reachability check has to keep.
-const checkInterval = 75 * time.Millisecond
-
 func (f *Forwarder) check(now time.Time) {
 	f.keepRole(now)
 	f.mu.Lock()
--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -11,6 +11,13 @@
 	"gentianswitch/internal/opaque/resident"
 )
 
+const (
+	// OverdueInterval is the time between two looks for openings that have waited for too long: short beside their 1.2 s.
+	OverdueInterval = 50 * time.Millisecond
+	// SweepInterval is the time between two looks for flows that have ended, a fraction of the times that they are kept.
+	SweepInterval = time.Second
+)
+
 // Gate is the state of the decisions at an agent. T goes with an opening that waits: its datagram.
 type Gate[T any] struct {
 	*resident.Resident
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -101,6 +101,11 @@
 // ErrMalformed means that a datagram is no frame.
 var ErrMalformed = eris.New("malformed frame")
 
+// Copy copies a datagram that has to wait, with room for a trailer.
+func Copy(datagram []byte) []byte {
+	return append(make([]byte, 0, len(datagram)+MaxTrailer), datagram...)
+}
+
 // Append appends the trailer to frame.
 func (h *Header) Append(frame []byte) []byte {
 	for i := range h.Count {
--- a/internal/opaque/resident/busy_test.go
+++ b/internal/opaque/resident/busy_test.go
@@ -135,17 +135,22 @@
 	g.Expect(r.Capacity(time.Second)).To(BeNumerically(">=", 45), "one run that hangs says little of the others")
 }
 
-// The pattern is a target of short runs whose callers are far away: most of its flows are opening, and its slots are idle.
-func TestFlowsThatOpenDoNotMakeATargetOfShortRunsBusy(t *testing.T) {
-	g := NewWithT(t)
-	r := beside()
-	for port := range uint16(200) {
+// serveInTurn serves a flow each 100 ms, which opens and is answered in the given times.
+func serveInTurn(r *resident.Resident, flows uint16, handshakeMS, runMS int) {
+	for port := range flows {
 		now := 100 * int(port)
 		r.FromNode(after(now), opening(port), frame())
 		r.FromTarget(after(now), accept(port))
-		r.FromNode(after(now+40), data(port, 1), frame())
-		r.FromTarget(after(now+42), answer(port))
+		r.FromNode(after(now+handshakeMS), data(port, 1), frame())
+		r.FromTarget(after(now+handshakeMS+runMS), answer(port))
 	}
+}
+
+// The pattern is a target of short runs whose callers are far away: most of its flows are opening, and its slots are idle.
+func TestFlowsThatOpenDoNotMakeATargetOfShortRunsBusy(t *testing.T) {
+	g := NewWithT(t)
+	r := beside()
+	serveInTurn(r, 200, 40, 2)
 	for port := uint16(1000); port < 1015; port++ {
 		d := r.FromNode(after(20_100), opening(port), frame(next))
 		g.Expect(d.Verdict).To(Equal(resident.Deliver), "a run of 2 ms in 42 ms uses a twentieth of the slot")
@@ -158,13 +163,7 @@
 func TestUrgentOpeningsWaitWhenTheTargetCannotAnswerInTime(t *testing.T) {
 	g := NewWithT(t)
 	r := beside()
-	for port := range uint16(100) {
-		now := 100 * int(port)
-		r.FromNode(after(now), opening(port), frame())
-		r.FromTarget(after(now), accept(port))
-		r.FromNode(after(now+10), data(port, 1), frame())
-		r.FromTarget(after(now+60), answer(port))
-	}
+	serveInTurn(r, 100, 10, 50)
 	h := frame()
 	h.Objective = 310
 	taken := 0
--- a/internal/opaque/sidecar/openings.go
+++ b/internal/opaque/sidecar/openings.go
@@ -6,17 +6,8 @@
 
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/opaque/gate"
-	"gentianswitch/internal/opaque/hop"
 )
 
-// overdueInterval is the time between two looks for openings that have waited for too long: short beside their 1.2 s.
-const overdueInterval = 50 * time.Millisecond
-
-// keep copies a datagram that has to wait, with room for a trailer, in case it is passed on after all.
-func keep(datagram []byte) []byte {
-	return append(make([]byte, 0, len(datagram)+hop.MaxTrailer), datagram...)
-}
-
 // offerNext gives waiting flows to the target while it has room.
 func (s *Sidecar) offerNext(now time.Time) {
 	s.release(func() (gate.Released[[]byte], bool) {
@@ -30,7 +21,7 @@
 
 // endOverdue gives flows up whose callers are about to, until ctx ends.
 func (s *Sidecar) endOverdue(ctx context.Context) error {
-	duty.Every(ctx, overdueInterval, func(now time.Time) {
+	duty.Every(ctx, gate.OverdueInterval, func(now time.Time) {
 		s.release(func() (gate.Released[[]byte], bool) { return s.gate.Overdue(now) })
 		s.offerNext(now)
 	})
--- a/internal/opaque/sidecar/path.go
+++ b/internal/opaque/sidecar/path.go
@@ -41,7 +41,7 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	d, displaced, isDisplaced := s.gate.FromNode(now, &p, h, func() []byte { return keep(datagram) })
+	d, displaced, isDisplaced := s.gate.FromNode(now, &p, h, func() []byte { return hop.Copy(datagram) })
 	if d.Verdict == resident.Wait {
 		s.logWaits(&p, h)
 	}
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -179,11 +179,8 @@
 	return socket.ServeHTTP(ctx, s.settings.Announce, s.parts.AnnounceHandler(s))
 }
 
-// sweepInterval is the time between two looks for flows that have ended, a fraction of the times that they are kept.
-const sweepInterval = time.Second
-
 func (s *Sidecar) sweep(ctx context.Context) error {
-	duty.Every(ctx, sweepInterval, func(now time.Time) {
+	duty.Every(ctx, gate.SweepInterval, func(now time.Time) {
 		s.mu.Lock()
 		s.gate.Sweep(now)
 		flows, waiting := s.gate.Flows(), s.gate.Waiting()
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -14,10 +14,6 @@
 	"gentianswitch/internal/rendezvous"
 )
 
-// flowLifetime is the age at which the platform lets a flow be discarded (60 s). For so long a service that a route no
-// longer names may hold flows of the route.
-const flowLifetime = 60 * time.Second
-
 // Verdict is what becomes of a packet.
 type Verdict uint8
 
@@ -127,7 +123,7 @@
 	return true
 }
 
-// keepFormers remembers the services that routes no longer name, since open flows stay where they are.
+// keepFormers remembers for the lifetime of a flow the services that routes no longer name, since open flows stay where they are.
 func (s *Steer) keepFormers(now time.Time, next *desired.Table) {
 	s.table.Each(func(address flow.Endpoint, route *desired.Route) {
 		replacement := next.Route(address)
@@ -137,7 +133,7 @@
 		}
 		for _, share := range route.Shares {
 			if !replacement.Names(share.Service) {
-				s.formers[address] = append(s.formers[address], former{share.Service, now.Add(flowLifetime)})
+				s.formers[address] = append(s.formers[address], former{share.Service, now.Add(flow.Lifetime)})
 			}
 		}
 	})
@@ -145,7 +141,7 @@
 
 // Locate remembers that an agent, beside a target of a service, holds a flow.
 func (s *Steer) Locate(now time.Time, id flow.ID, agent hop.IP, service desired.ServiceKey) {
-	if now.Sub(s.rotated) > flowLifetime {
+	if now.Sub(s.rotated) > flow.Lifetime {
 		s.located.rotate()
 		s.rotated = now
 	}
