--- a/internal/balancer/stop_test.go
+++ b/internal/balancer/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -44,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b, err := New(Settings{Data: freeAddress(t), Control: freeAddress(t)}, set, credentials, store.NewHTTP("127.0.0.1:1"),
+	b, err := New(Settings{Data: freeAddress(t), Control: freeControlAddress(t)}, set, credentials, store.NewHTTP("127.0.0.1:1"),
 		events.NewDiscardLogger(), scope)
 	if err != nil {
 		t.Fatal(err)
@@ -154,6 +155,20 @@
 	return addressOf(socket)
 }
 
+// freeControlAddress returns an address at which a TCP listener can be opened. A port that no UDP socket has may be that of another
+// process's TCP connection, so it is on a loopback address that belongs to this process.
+func freeControlAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	pid := os.Getpid()
+	own := netip.AddrFrom4([4]byte{127, 30, byte(pid >> 8), byte(pid)})
+	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(netip.AddrPortFrom(own, 0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
 // Waits of countDatagrams. A read fails once its deadline has passed, also when a datagram waits, so the wait for those
 // that must come is longer than any pause of the process.
 const (
