Observability: events for a restored store and for fetched state

Which of the hypotheses on the restored store holds could not be told from the logs: a fetch from another balancer left no line, and the era of the store's answers was not read. Event 415 reports that the era has risen, event 416 what a fetch requested and received. No logic changes; the adapter decodes the header Store-Era and keeps no state.

--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -10,6 +10,7 @@
 	"gentianswitch/internal/opaque/sidecar"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
+	"gentianswitch/internal/store"
 	"gentianswitch/platform"
 )
 
@@ -94,7 +95,7 @@
 	}
 	return program.NewKeylessProcess(sidecar.New(s, sidecar.Dependencies{
 		Codec:               platform.PacketCodec{},
-		Store:               platform.NewStore(o.store, metrics.StoreCalls(parts.Scope)),
+		Store:               platform.NewStore(o.store, store.NewObserver(parts.Scope, parts.Log)),
 		NewHeartbeatHandler: platform.HeartbeatHandler,
 		Log:                 parts.Log, Scope: parts.Scope,
 	}).Run), nil
--- a/cmd/gentian-balancer/opaque.go
+++ b/cmd/gentian-balancer/opaque.go
@@ -9,6 +9,7 @@
 	"gentianswitch/internal/opaque/forwarder"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
+	"gentianswitch/internal/store"
 	"gentianswitch/platform"
 )
 
@@ -62,7 +63,7 @@
 	}
 	return program.NewKeylessProcess(forwarder.New(s, forwarder.Dependencies{
 		Codec: platform.PacketCodec{},
-		Store: platform.NewStore(o.store, metrics.StoreCalls(parts.Scope)),
+		Store: platform.NewStore(o.store, store.NewObserver(parts.Scope, parts.Log)),
 		Configuration: forwarder.Configuration{
 			Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
 		},
--- a/internal/events/configuration.go
+++ b/internal/events/configuration.go
@@ -16,4 +16,7 @@
 		"revision", "short_reserve", "queue_limit", "default_deadline_ms")
 	StoreAvailable = define(403, logrus.InfoLevel, "store available",
 		"Calls to the platform's store succeed again.", "peer")
+	StoreRestored = define(415, logrus.WarnLevel, "store restored",
+		"The platform's store was restored from a copy: what was written after the copy is lost, and its revisions are given out "+
+			"again. Operators and agents write what is missing again.", "previous", "era")
 )
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -67,6 +67,11 @@
 	HandoverFailed = define(413, logrus.WarnLevel, "handover failed",
 		"The request to another balancer for the routes and targets that it knows failed.", "peer", "error")
 
+	StateFetched = define(416, logrus.InfoLevel, "state fetched",
+		"Another balancer sent the changes after this revision, or a snapshot, and possibly a configuration. known and received are the "+
+			"revisions of the configuration that this balancer has and of the one that was sent; 0 means none.",
+		"peer", "after", "revision", "snapshot", "targets", "known", "received")
+
 	StoreReaderChanged = define(414, logrus.InfoLevel, "reader changed",
 		"The balancer starts or stops watching the store. While it does not, other balancers of its group send it the changes.", "reading", "revision")
 
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -99,6 +99,9 @@
 		}
 		return
 	}
+	f.deps.Log.Emit(events.StateFetched, events.F("peer", from.String()), events.F("after", request.After),
+		events.F("revision", state.Revision), events.F("snapshot", state.IsSnapshot), events.F("targets", len(state.Targets)),
+		events.F("known", request.ConfigurationRevision), events.F("received", state.Configuration.Revision))
 	if state.Configuration.Revision > 0 {
 		f.applyFetchedConfiguration(state.Configuration, from)
 	}
