Failing tests: a store restored from a copy

- a change with the revision of a lost one, and a change of a store that is far behind, reach only the readers of the store;
- agents do not write what the store has lost: entries of targets that joined, and the drain of a target.

--- /dev/null
+++ b/integration/opaque_restored_test.go
@@ -0,0 +1,99 @@
+package integration
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/platform/standin"
+)
+
+var _ = Describe("A store that is restored from a copy", func() {
+	alternateRoutes := map[netip.AddrPort]string{opaqueAddress: "lines", opaqueLessUrgent: "lines"}
+	onlyRoute := map[netip.AddrPort]string{opaqueAddress: "lines"}
+
+	expectInForce := func(d *opaqueDeployment) {
+		GinkgoHelper()
+		for _, p := range d.balancers {
+			Eventually(p.logText).WithTimeout(opaqueWaitLimit).
+				Should(ContainSubstring(fmt.Sprintf(`"configuration":%d,"event":410`, d.version)), p.ip.String())
+		}
+	}
+	// storedEntry returns the entry of an agent's target in the store, or the zero Entry.
+	storedEntry := func(d *opaqueDeployment, agent *opaqueProcess) registry.Entry {
+		raw := d.store.Value(registry.Key(hop.IP(agent.ip.As4())))
+		if raw == nil {
+			return registry.Entry{}
+		}
+		entry, err := registry.Decode(raw)
+		Expect(err).NotTo(HaveOccurred())
+		return entry
+	}
+	// hasNoticed reports whether a process has noticed a restoration.
+	hasNoticed := func(p *opaqueProcess) bool { return strings.Contains(p.logText(), `"event":415`) }
+	// restore restores the store, and waits until each balancer has noticed that.
+	restore := func(d *opaqueDeployment, backup standin.Copy) {
+		GinkgoHelper()
+		d.store.Restore(backup)
+		for _, p := range d.balancers {
+			Eventually(func() bool { return hasNoticed(p) }).WithTimeout(opaqueWaitLimit).Should(BeTrue(), p.ip.String())
+		}
+	}
+
+	// Guards against a configuration that only the readers of the store apply: its revision is the one that the configuration of
+	// the other balancers had before the store was restored.
+	It("gives a change the revision of a lost one, and the change still reaches every balancer", func() {
+		d := newOpaqueDeployment(5, 3)
+		backup := d.store.Copy()
+		d.configure(alternateRoutes)
+		d.configure(onlyRoute)
+		expectInForce(d)
+		d.store.Restore(backup)
+		d.version -= 3
+		d.configure(onlyRoute)
+		Eventually(func() bool { return slices.ContainsFunc(d.balancers, hasNoticed) }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+		d.configure(alternateRoutes)
+		expectInForce(d)
+	})
+
+	// Guards against changes that only the readers of the store apply until its revisions pass those before the restoration.
+	It("is far behind, and a change still reaches every balancer", func() {
+		d := newOpaqueDeployment(5, 3)
+		backup := d.store.Copy()
+		for i := range 50 {
+			d.store.Put(fmt.Sprintf("other/%d", i), nil)
+		}
+		d.configure(alternateRoutes)
+		expectInForce(d)
+		d.store.Restore(backup)
+		d.configure(onlyRoute)
+		expectInForce(d)
+	})
+
+	// Guards against targets that are missing from a restored store, because their agents rely on acknowledged writes.
+	It("lacks the entry of a target, and the target's agent writes it again", func() {
+		d := newOpaqueDeployment(2, 2)
+		backup := d.store.Copy()
+		d.addTarget("lines")
+		d.awaitReady()
+		last := d.agents[len(d.agents)-1]
+		restore(d, backup)
+		Eventually(func() string { return storedEntry(d, last).Service }).WithTimeout(opaqueWaitLimit).Should(Equal("lines"))
+	})
+
+	// Guards against a draining target that a restored store shows as ready.
+	It("holds an earlier entry of a target, and the target's agent replaces it", func() {
+		d := newOpaqueDeployment(2, 2)
+		backup := d.store.Copy()
+		Expect(d.targets[0].Drain()).To(Succeed())
+		Eventually(func() bool { return storedEntry(d, d.agents[0]).IsDraining }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+		restore(d, backup)
+		Eventually(func() bool { return storedEntry(d, d.agents[0]).IsDraining }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+	})
+})
