Handover: configurations are compared by the operators' version, not by store revisions

What callers saw: after the store was restored, changes of the routes were in force on the readers of the store only.

Cause: a balancer asked others for a configuration above the store revision of its own.

Change: requests name the version that operators gave the configuration. It is the only number that says which of two configurations is newer, in force on one balancer or sent by another, whichever timeline of the store it came from. The compressed copy is keyed by it.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -68,9 +68,9 @@
 		"The request to another balancer for the routes and targets that it knows failed.", "peer", "error")
 
 	StateFetched = define(416, logrus.InfoLevel, "state fetched",
-		"Another balancer sent the changes after this revision, or a snapshot, and possibly a configuration. known and received are the "+
-			"revisions of the configuration that this balancer has and of the one that was sent; 0 means none.",
-		"peer", "after", "revision", "snapshot", "targets", "known", "received")
+		"Another balancer sent the changes after this revision, or a snapshot, and possibly a configuration. configuration is the "+
+			"version that this balancer had, and received the revision of the one that was sent; 0 means none.",
+		"peer", "after", "revision", "snapshot", "targets", "configuration", "received")
 
 	StoreReaderChanged = define(414, logrus.InfoLevel, "reader changed",
 		"The balancer starts or stops watching the store. While it does not, other balancers of its group send it the changes.", "reading", "revision")
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -101,7 +101,7 @@
 	}
 	f.deps.Log.Emit(events.StateFetched, events.F("peer", from.String()), events.F("after", request.After),
 		events.F("revision", state.Revision), events.F("snapshot", state.IsSnapshot), events.F("targets", len(state.Targets)),
-		events.F("known", request.ConfigurationRevision), events.F("received", state.Configuration.Revision))
+		events.F("configuration", request.ConfigurationVersion), events.F("received", state.Configuration.Revision))
 	if state.Configuration.Revision > 0 {
 		f.applyFetchedConfiguration(state.Configuration, from)
 	}
@@ -116,9 +116,7 @@
 
 // handoverRequest returns a request for what this balancer lacks.
 func (f *Forwarder) handoverRequest() handover.Request {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return handover.Request{ConfigurationRevision: f.document.Version, After: f.appliedRevision}
+	return handover.Request{ConfigurationVersion: f.configurationVersion(), After: f.revision()}
 }
 
 // applyFetchedTargets applies the targets of another balancer's state. A snapshot removes the targets that it lacks, unless
@@ -170,7 +168,7 @@
 	if state.IsSnapshot {
 		after = 0
 	}
-	if f.document.Version > request.ConfigurationRevision {
+	if table := f.steer.Table(); table != nil && table.Version > request.ConfigurationVersion {
 		state.Configuration = f.packDocument()
 	}
 	for _, t := range f.directory.Targets() {
@@ -195,13 +193,14 @@
 // packDocument returns the configuration in force, compressed for other balancers. Each version is compressed once. The caller
 // holds mu.
 func (f *Forwarder) packDocument() handover.Item {
-	if f.packedDocument.Revision != f.document.Version {
+	if version := f.steer.Table().Version; f.packedVersion != version {
 		value, err := handover.Pack(f.document.Value)
 		if err != nil {
 			f.logHandoverFailure(f.settings.Peer.String(), err)
 			return handover.Item{}
 		}
 		f.packedDocument = handover.Item{Key: f.document.Key, Value: value, Revision: f.document.Version}
+		f.packedVersion = version
 	}
 	return f.packedDocument
 }
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -87,10 +87,11 @@
 	hasListedTargets bool
 	// storeAnsweredAt is the time of the last successful call to the store.
 	storeAnsweredAt time.Time
-	// document is the configuration in force as the store holds it, and packedDocument the same, compressed for other
-	// balancers.
+	// document is the configuration in force as the store holds it. packedDocument is the configuration of packedVersion,
+	// compressed for other balancers.
 	document       store.Item
 	packedDocument handover.Item
+	packedVersion  uint64
 	// appliedRevision is the revision up to which the store's changes are applied, or zero while the complete state is not
 	// known. snapshotRevision is the revision of the last snapshot. Targets that were removed before it may be unknown.
 	appliedRevision, snapshotRevision store.Version
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -30,8 +30,9 @@
 
 // Request states what the requesting balancer already has.
 type Request struct {
-	// ConfigurationRevision is the store revision of the operators' configuration document that the balancer has, or zero.
-	ConfigurationRevision store.Version `msgpack:"configuration"`
+	// ConfigurationVersion is the operators' version of the configuration that the balancer has, or zero. Unlike the revisions of
+	// the store, versions of the configuration never go back.
+	ConfigurationVersion uint64 `msgpack:"configuration_version"`
 	// After is the store revision up to which the balancer has applied all changes, or zero.
 	After store.Version `msgpack:"after"`
 }
@@ -41,7 +42,7 @@
 	// Revision is the store revision up to which the state includes all changes, or zero if the balancer does not know one.
 	Revision store.Version `msgpack:"at"`
 	// Configuration is the operators' configuration document; its value is compressed by Pack. Its store revision is zero if
-	// the document is unknown or not newer than that of the request.
+	// the document is unknown or its version is not above that of the request.
 	Configuration Item `msgpack:"configuration"`
 	// IsSnapshot is set if Targets are all targets. Otherwise Targets are those whose entries have changed after the revision
 	// of the request, and Removed those that have been removed since.
@@ -60,7 +61,7 @@
 // IsSufficientFor reports whether a balancer that sent the request r can forward packets once it has applied the state. It then
 // has a configuration, and the targets up to a known revision.
 func (s *State) IsSufficientFor(r Request) bool {
-	return s.Revision > 0 && s.Configuration.Revision|r.ConfigurationRevision > 0 && (!s.IsSnapshot || len(s.Targets) > 0)
+	return s.Revision > 0 && (s.Configuration.Revision > 0 || r.ConfigurationVersion > 0) && (!s.IsSnapshot || len(s.Targets) > 0)
 }
 
 // Fetch requests the state of the balancer at address.
--- a/internal/opaque/handover/handover_test.go
+++ b/internal/opaque/handover/handover_test.go
@@ -50,13 +50,13 @@
 		Targets: []handover.Item{{Key: "t", Value: []byte("e"), Revision: 50}},
 	}
 	address := serve(t, func(r handover.Request) handover.State {
-		if r.ConfigurationRevision == 60 {
+		if r.ConfigurationVersion == 6 {
 			return handover.State{Revision: 70, Targets: sent.Targets}
 		}
 		return sent
 	})
 	g.Expect(fetch(address, handover.Request{})).To(Equal(sent))
-	known := handover.Request{ConfigurationRevision: 60}
+	known := handover.Request{ConfigurationVersion: 6}
 	delta, err := fetch(address, known)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(delta.Configuration.Revision).To(BeZero(), "the requesting balancer has it")
