Versions of the store hold its era: a restored store never looks older, nor its old entries newer

What callers would see: changes that no reader of the store applies, and a target or the former owner of an address that comes back from the copy.

A revision alone does not name a write once the store has been restored: it names one before and one after. Watches, the comparison with the readers' revision, entries and removals of targets, the order in which targets joined, and the check whether the view is current all compared revisions of two timelines.

Change: store.Version is the pair of era and revision as one number, the era in the upper bits, so that every comparison and every frame that carries a version holds to it. Entries contain the era in which they were written: a restored entry keeps its former version, and removals or entries that the copy lacks stay newer. A list of a restored store removes no target whose entry is of an earlier era, since the copy may lack it.

Compatible with programs before: frames are the same, an entry without an era counts as of the era in which it is read, and the fields in entries are omitted or additional.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -38,7 +38,7 @@
 
 	TargetEntry = define(310, logrus.InfoLevel, "target entry",
 		"The state of a target in the balancer's view changed, by its entry in the store or by answers to pings.",
-		"agent", "service", "zone", "slots", "draining", "state", "reason", "revision")
+		"agent", "service", "zone", "slots", "draining", "state", "reason", "revision", "era")
 	TargetEntryRefused = define(311, logrus.WarnLevel, "target entry refused",
 		"An entry in the store cannot be decoded; it is ignored.", "key", "revision", "error")
 	TargetHeartbeat = define(312, logrus.InfoLevel, "target state",
@@ -55,10 +55,11 @@
 			"Its open flows have ended. Its last heartbeat arrived heartbeat_ms ago; -1 means never.",
 		"instance", "flows", "heartbeat_ms")
 	EntryWritten = define(315, logrus.InfoLevel, "entry written",
-		"The target's entry was written to the store.", "revision", "draining", "left", "complete")
+		"The target's entry was written to the store.", "revision", "era", "draining", "left", "complete")
 
 	ConfigurationApplied = define(410, logrus.InfoLevel, "configuration applied",
-		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "added", "removed", "moved", "revision", "source")
+		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "added", "removed", "moved", "revision", "era",
+		"source")
 	ConfigurationRefused = define(411, logrus.ErrorLevel, "configuration refused",
 		"A configuration cannot be decoded; the one in force stays.", "revision", "error")
 	ConfigurationIgnored = define(412, logrus.InfoLevel, "configuration ignored",
@@ -70,10 +71,11 @@
 	StateFetched = define(416, logrus.InfoLevel, "state fetched",
 		"Another balancer sent the changes after this revision, or a snapshot, and possibly a configuration. configuration is the "+
 			"version that this balancer had, and received the revision of the one that was sent; 0 means none.",
-		"peer", "after", "revision", "snapshot", "targets", "configuration", "received")
+		"peer", "after", "revision", "era", "snapshot", "targets", "configuration", "received")
 
 	StoreReaderChanged = define(414, logrus.InfoLevel, "reader changed",
-		"The balancer starts or stops watching the store. While it does not, other balancers of its group send it the changes.", "reading", "revision")
+		"The balancer starts or stops watching the store. While it does not, other balancers of its group send it the changes.",
+		"reading", "revision", "era")
 
 	ReadinessChanged = define(110, logrus.InfoLevel, "readiness changed",
 		"The balancer started or stopped reporting to the routers that it accepts packets.", "ready", "reason")
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -95,9 +95,11 @@
 	return Target{}, false
 }
 
-// HandleEntry records an entry of the store. It ignores the entry and reports false when its revision is not above that of the
-// known entry or of the target's removal.
-func (d *Directory) HandleEntry(now time.Time, agent hop.IP, e registry.Entry, revision store.Version) (Change, bool) {
+// HandleEntry records an entry, which the store or another balancer returned with a version. It ignores the entry and reports
+// false when it is not newer than the known entry or the target's removal. An entry of a restored store that was written before
+// a lost one is not newer.
+func (d *Directory) HandleEntry(now time.Time, agent hop.IP, e registry.Entry, returned store.Version) (Change, bool) {
+	revision := e.Version(returned)
 	known := d.targets[agent]
 	if known != nil && revision <= known.Revision || revision <= d.removalRevisions[agent] {
 		return Change{}, false
@@ -129,11 +131,12 @@
 }
 
 // Retain removes every target whose agent is not listed. It is called after a complete read of the store at a revision. Targets
-// with a newer entry stay.
+// with a newer entry stay. Targets with an entry of an earlier era stay too: the restored store may have lost the entry, and the
+// target's agent writes it again.
 func (d *Directory) Retain(listed map[hop.IP]struct{}, revision store.Version) []Change {
 	var changes []Change
-	for agent := range d.targets {
-		if _, ok := listed[agent]; ok {
+	for agent, t := range d.targets {
+		if _, ok := listed[agent]; ok || t.Revision.Era() < revision.Era() {
 			continue
 		}
 		if change, ok := d.HandleRemoval(agent, revision); ok {
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -36,7 +36,7 @@
 	Slots, Weight float64
 	IsDraining    bool
 	State         Reachability
-	// joinedAt is the revision of the store at which the target joined. zoneIndex is the index of its availability zone in the
+	// joinedAt is the version of the store at which the target joined. zoneIndex is the index of its availability zone in the
 	// pool's zones.
 	joinedAt  store.Version
 	zoneIndex int
@@ -78,7 +78,7 @@
 		p.candidates = append(p.candidates, Candidate{
 			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Slots: slots, Weight: slots * zoneFactor(d.zone, t.Entry.Zone),
 			IsDraining: t.Entry.IsDraining, State: t.State,
-			joinedAt: t.Entry.JoinRevision(t.Revision), zoneIndex: p.indexOfZone(t.Entry.Zone),
+			joinedAt: t.Entry.JoinVersion(t.Revision), zoneIndex: p.indexOfZone(t.Entry.Zone),
 		})
 	}
 	for _, p := range pools {
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -99,9 +99,10 @@
 		}
 		return
 	}
-	f.deps.Log.Emit(events.StateFetched, events.F("peer", from.String()), events.F("after", request.After),
-		events.F("revision", state.Revision), events.F("snapshot", state.IsSnapshot), events.F("targets", len(state.Targets)),
-		events.F("configuration", request.ConfigurationVersion), events.F("received", state.Configuration.Revision))
+	f.deps.Log.Emit(events.StateFetched, events.F("peer", from.String()), events.F("after", request.After.Revision()),
+		events.F("revision", state.Revision.Revision()), events.F("era", state.Revision.Era()), events.F("snapshot", state.IsSnapshot),
+		events.F("targets", len(state.Targets)), events.F("configuration", request.ConfigurationVersion),
+		events.F("received", state.Configuration.Revision.Revision()))
 	if state.Configuration.Revision > 0 {
 		f.applyFetchedConfiguration(state.Configuration, from)
 	}
@@ -120,7 +121,7 @@
 }
 
 // applyFetchedTargets applies the targets of another balancer's state. A snapshot removes the targets that it lacks, unless
-// their entries are newer than the snapshot.
+// their entries are newer than the snapshot or of an earlier era.
 func (f *Forwarder) applyFetchedTargets(state handover.State) {
 	items := make([]store.Item, 0, len(state.Targets))
 	for _, target := range state.Targets {
@@ -128,10 +129,10 @@
 	}
 	if state.IsSnapshot && state.Revision > 0 {
 		f.applySnapshot(items, state.Revision)
-		return
-	}
-	for _, item := range items {
-		f.applyEntry(item)
+	} else {
+		for _, item := range items {
+			f.applyEntry(item)
+		}
 	}
 	for _, removed := range state.Removed {
 		f.removeEntry(storeItem(removed))
@@ -159,7 +160,8 @@
 }
 
 // handoverState returns the part of this balancer's state that the requesting balancer lacks: the changes after the requested
-// revision, or a snapshot when the removals since then are not known.
+// revision, with a snapshot instead of the changed targets when not all removals since then are known. The known removals are
+// part of the state in any case: a snapshot does not show removals of an earlier era.
 func (f *Forwarder) handoverState(request handover.Request) handover.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -182,8 +184,8 @@
 		}
 		state.Targets = append(state.Targets, handover.Item{Key: registry.Key(t.Agent), Value: value, Revision: t.Revision})
 	}
-	if !state.IsSnapshot {
-		f.directory.EachRemoved(after, func(agent hop.IP, revision store.Version) {
+	if request.After > 0 {
+		f.directory.EachRemoved(request.After, func(agent hop.IP, revision store.Version) {
 			state.Removed = append(state.Removed, handover.Item{Key: registry.Key(agent), Revision: revision})
 		})
 	}
--- a/internal/opaque/forwarder/entries.go
+++ b/internal/opaque/forwarder/entries.go
@@ -59,7 +59,7 @@
 func (f *Forwarder) applyConfiguration(item store.Item, source string) {
 	table, err := f.deps.Configuration.Decode(item.Value)
 	if err != nil {
-		f.deps.Log.Emit(events.ConfigurationRefused, events.F("revision", item.Version), events.Err(err))
+		f.deps.Log.Emit(events.ConfigurationRefused, events.F("revision", item.Version.Revision()), events.Err(err))
 		return
 	}
 	f.mu.Lock()
@@ -77,7 +77,8 @@
 	difference := known.Compare(table)
 	f.deps.Log.Emit(events.ConfigurationApplied, events.F("configuration", table.Version),
 		events.F("routes", table.Len()), events.F("added", difference.Added), events.F("removed", difference.Removed),
-		events.F("moved", difference.Moved), events.F("revision", item.Version), events.F("source", source))
+		events.F("moved", difference.Moved), events.F("revision", item.Version.Revision()), events.F("era", item.Version.Era()),
+		events.F("source", source))
 }
 
 // applyEntry applies the entry of a target and returns the address of its agent. It reports false for an entry that cannot be
@@ -104,7 +105,8 @@
 }
 
 func (f *Forwarder) logRefusedEntry(item store.Item, err error) {
-	f.deps.Log.Emit(events.TargetEntryRefused, events.F("key", item.Key), events.F("revision", item.Version), events.Err(err))
+	f.deps.Log.Emit(events.TargetEntryRefused, events.F("key", item.Key), events.F("revision", item.Version.Revision()),
+		events.Err(err))
 }
 
 func (f *Forwarder) removeEntry(item store.Item) {
@@ -139,5 +141,6 @@
 	t := change.Target
 	f.deps.Log.Emit(events.TargetEntry, events.F("agent", ipText(t.Agent)), events.F("service", t.Entry.Service),
 		events.F("zone", t.Entry.Zone), events.F("slots", t.Entry.Slots), events.F("draining", t.Entry.IsDraining),
-		events.F("state", t.State.String()), events.F("reason", change.Reason), events.F("revision", t.Revision))
+		events.F("state", t.State.String()), events.F("reason", change.Reason), events.F("revision", t.Revision.Revision()),
+		events.F("era", t.Revision.Era()))
 }
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -100,7 +100,7 @@
 	f.deps.Log.Emit(events.OpaqueFlowPlaced, events.F("flow", p.IDFromCaller().String()), events.F("copies", p.Retransmissions),
 		events.F("route", routeName(d)), events.F("agent", ipText(d.Agent)), events.F("candidates", d.Header.CandidateCount),
 		events.F("reason", d.Reason.String()), events.F("configuration", f.configurationVersion()),
-		events.F("revision", target.Revision), events.Age("entry_ms", now, target.EntryReceivedAt),
+		events.F("revision", target.Revision.Revision()), events.Age("entry_ms", now, target.EntryReceivedAt),
 		events.Age("pong_ms", now, target.AnsweredAt))
 }
 
--- a/internal/opaque/forwarder/revalidate.go
+++ b/internal/opaque/forwarder/revalidate.go
@@ -170,11 +170,11 @@
 	return f.lastChange.get(ctx, maxSharedReadAge)
 }
 
-// readLastChange reads the revision of the last change from the store. It is zero when no entry has been written yet.
+// readLastChange reads the version of the last change from the store. Its revision is zero when no entry has been written yet.
 func (f *Forwarder) readLastChange(ctx context.Context) (store.Version, error) {
 	item, err := f.deps.Store.Read(ctx, registry.ChangesKey)
 	if eris.Is(err, store.ErrNotFound) {
-		return 0, nil
+		err = nil
 	}
 	return item.Version, err
 }
--- a/internal/opaque/forwarder/role.go
+++ b/internal/opaque/forwarder/role.go
@@ -47,7 +47,9 @@
 	if !hasChanged {
 		return
 	}
-	f.deps.Log.Emit(events.StoreReaderChanged, events.F("reading", isReader), events.F("revision", f.revision()))
+	revision := f.revision()
+	f.deps.Log.Emit(events.StoreReaderChanged, events.F("reading", isReader), events.F("revision", revision.Revision()),
+		events.F("era", revision.Era()))
 	select {
 	case f.roleChanged <- struct{}{}:
 	default:
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -45,7 +45,7 @@
 	// the document is unknown or its version is not above that of the request.
 	Configuration Item `msgpack:"configuration"`
 	// IsSnapshot is set if Targets are all targets. Otherwise Targets are those whose entries have changed after the revision
-	// of the request, and Removed those that have been removed since.
+	// of the request. Removed are those that are known to have been removed since.
 	IsSnapshot bool   `msgpack:"whole"`
 	Targets    []Item `msgpack:"targets"`
 	Removed    []Item `msgpack:"removed"`
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -35,19 +35,47 @@
 	// Joined is the store revision at which the target joined, or zero if that is the revision of this entry. The target has
 	// not left since.
 	Joined uint64 `msgpack:"joined,omitempty"`
+	// Era is the era of the store in which the entry was written, or zero if it is not known. A store that was restored from a
+	// copy answers with its new era, but still holds entries of earlier ones.
+	Era uint64 `msgpack:"era,omitempty"`
+	// JoinedEra is the era of Joined, or zero if that is Era.
+	JoinedEra uint64 `msgpack:"joined_era,omitempty"`
 }
 
-// JoinRevision returns the store revision at which the target joined. The argument is the revision of the entry itself.
-func (e Entry) JoinRevision(revision store.Version) store.Version {
-	if e.Joined > 0 {
-		return store.Version(e.Joined)
+// Version returns the version of the entry. The argument is the version with which the store, or another balancer, returned it.
+// Its era may be later than that in which the entry was written, but not earlier.
+func (e Entry) Version(returned store.Version) store.Version {
+	if e.Era == 0 || e.Era > returned.Era() {
+		return returned
 	}
-	return revision
+	return returned.InEra(e.Era)
 }
 
-// matches reports whether the entry equals the desired one. Joined is ignored, since the desired entry does not have it.
+// JoinVersion returns the version at which the target joined. The argument is the version of the entry itself.
+func (e Entry) JoinVersion(version store.Version) store.Version {
+	if e.Joined == 0 {
+		return version
+	}
+	joined := store.Version(e.Joined)
+	if e.JoinedEra == 0 || e.JoinedEra > version.Era() {
+		return joined.InEra(version.Era())
+	}
+	return joined.InEra(e.JoinedEra)
+}
+
+// withJoinVersion returns the entry with the version at which its target joined. Zero means the version of the entry itself.
+func (e Entry) withJoinVersion(joined store.Version) Entry {
+	e.Joined, e.JoinedEra = joined.Revision(), 0
+	if joined.Era() != e.Era {
+		e.JoinedEra = joined.Era()
+	}
+	return e
+}
+
+// matches reports whether the entry equals the desired one, apart from what the desired one does not have: when it was written
+// and when its target joined.
 func (e Entry) matches(desired Entry) bool {
-	e.Joined = desired.Joined
+	e.Joined, e.Era, e.JoinedEra = desired.Joined, desired.Era, desired.JoinedEra
 	return e == desired
 }
 
--- a/internal/opaque/registry/registry_test.go
+++ b/internal/opaque/registry/registry_test.go
@@ -160,7 +160,7 @@
 		w.SetDesired(e)
 		written, _ := w.NextWrite()
 		w.HandleWritten(written, revision)
-		return written.JoinRevision(revision)
+		return written.JoinVersion(revision)
 	}
 	g.Expect(write(ready, 7)).To(BeEquivalentTo(7))
 	g.Expect(write(draining, 9)).To(BeEquivalentTo(7), "the target has not left since")
@@ -174,7 +174,7 @@
 	next.SetDesired(draining)
 	handleRead(t, &next, ready, 40)
 	e, _ := next.NextWrite()
-	g.Expect(e.JoinRevision(50)).To(BeEquivalentTo(40), "another agent process continues the entry")
+	g.Expect(e.JoinVersion(50)).To(BeEquivalentTo(40), "another agent process continues the entry")
 }
 
 func TestWriterReadsAgainAfterAnUnknownOutcome(t *testing.T) {
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -67,8 +67,9 @@
 // revision at which it joined.
 func (w *Writer) NextWrite() (Entry, store.Version) {
 	e := w.desired
+	e.Era = w.revision.Era()
 	if !e.HasLeft && w.hasDesiredTarget() {
-		e.Joined = uint64(w.stored.JoinRevision(w.revision))
+		e = e.withJoinVersion(w.stored.JoinVersion(w.stored.Version(w.revision)))
 	}
 	return e, w.revision
 }
@@ -90,7 +91,7 @@
 // means that there is no entry. A value that cannot be decoded is an error, and is replaced by the next write.
 func (w *Writer) HandleRead(value []byte, revision store.Version) error {
 	e, err := Decode(value)
-	if revision == 0 {
+	if revision.Revision() == 0 {
 		err = nil
 	}
 	w.HandleWritten(e, revision)
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -192,12 +192,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case err == nil:
+	case err == nil, eris.Is(err, store.ErrNotFound):
 		s.handleStoreSuccess()
 		s.handleStoredEntry(item)
-	case eris.Is(err, store.ErrNotFound):
-		s.handleStoreSuccess()
-		s.handleStoredEntry(store.Item{})
 	default:
 		s.handleStoreFailure(err, "read entry")
 	}
@@ -208,7 +205,8 @@
 	err := s.writer.HandleRead(item.Value, item.Version)
 	s.updateJoining()
 	if err != nil {
-		s.deps.Log.Emit(events.TargetEntryRefused, events.F("key", item.Key), events.F("revision", item.Version), events.Err(err))
+		s.deps.Log.Emit(events.TargetEntryRefused, events.F("key", item.Key), events.F("revision", item.Version.Revision()),
+			events.Err(err))
 	}
 }
 
@@ -225,13 +223,13 @@
 		s.handleStoreSuccess()
 		s.writer.HandleWritten(entry, item.Version)
 		s.updateJoining()
-		if revision == 0 {
+		if revision.Revision() == 0 {
 			s.gate.SetEntryCreated()
 		}
 		if entry.HasLeft {
 			s.gate.SetLeft(time.Now())
 		}
-		s.deps.Log.Emit(events.EntryWritten, events.F("revision", item.Version),
+		s.deps.Log.Emit(events.EntryWritten, events.F("revision", item.Version.Revision()), events.F("era", item.Version.Era()),
 			events.F("draining", entry.IsDraining), events.F("left", entry.HasLeft),
 			events.F("complete", s.gate.IsFlowTableComplete(time.Now())))
 	case eris.Is(err, store.ErrConflict) && item.Version != revision:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,10 +25,6 @@
 	ErrNotSent = eris.New("the store cannot be reached")
 )
 
-// Version is the version of a key. In a Store it counts the writes of the key. In a WatchableStore all keys share one counter,
-// and its value is called a revision of the store. Zero means that the key does not exist.
-type Version uint64
-
 // LeaseID identifies a lease. Zero stands for no lease.
 type LeaseID uint64
 
