Agents write again what a restored store has lost of their entries

What callers saw: a target that joined in the lost seconds was missing from the store for good, one that drained was shown as ready, and one whose address went to another service was shown as the former owner. Balancers that started later sent it nothing, or the flows of another service, and reset its open flows.

Cause: an agent took an acknowledged write as lasting and called the store four times in the lifetime of its target, so it never noticed.

Change: every ping of a balancer carries the version up to which it has applied the store's changes, and so the era. When the era rises, the agent reads its entry once, after a delay of up to 2 s that is derived from its address, and writes it again if it is missing, or older than the one that the store had acknowledged (also if it says the same: some balancers know a removal in between). The entry keeps the version at which the target joined, which candidate searches rely on, and the target does not pause as when it joins. A write that the store executed after a restoration names the wrong era and is repeated. While no balancer pings the agent, it reads its entry after 8 s, 16 s and so on up to 128 s: after a restart of all balancers nobody may know its target. Only an entry that this process creates makes its flow table complete; one that is written again does not.

Cost: one read for each agent and restoration, none otherwise while balancers use the target.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -57,9 +57,12 @@
 	EntryWritten = define(315, logrus.InfoLevel, "entry written",
 		"The target's entry was written to the store.", "revision", "era", "draining", "left", "complete")
 
+	EntryLost = define(317, logrus.WarnLevel, "entry lost",
+		"The store was restored from a copy and lacks the target's entry, or holds an older one at this revision. The agent writes "+
+			"the entry again.", "revision", "era")
+
 	ConfigurationApplied = define(410, logrus.InfoLevel, "configuration applied",
-		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "added", "removed", "moved", "revision", "era",
-		"source")
+		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "added", "removed", "moved", "revision", "source")
 	ConfigurationRefused = define(411, logrus.ErrorLevel, "configuration refused",
 		"A configuration cannot be decoded; the one in force stays.", "revision", "error")
 	ConfigurationIgnored = define(412, logrus.InfoLevel, "configuration ignored",
--- a/internal/opaque/forwarder/entries.go
+++ b/internal/opaque/forwarder/entries.go
@@ -77,8 +77,7 @@
 	difference := known.Compare(table)
 	f.deps.Log.Emit(events.ConfigurationApplied, events.F("configuration", table.Version),
 		events.F("routes", table.Len()), events.F("added", difference.Added), events.F("removed", difference.Removed),
-		events.F("moved", difference.Moved), events.F("revision", item.Version.Revision()), events.F("era", item.Version.Era()),
-		events.F("source", source))
+		events.F("moved", difference.Moved), events.F("revision", item.Version.Revision()), events.F("source", source))
 }
 
 // applyEntry applies the entry of a target and returns the address of its agent. It reports false for an entry that cannot be
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -24,36 +24,66 @@
 	Write
 )
 
+const (
+	// checkInterval is the time without a report of a balancer after which the stored entry is read again: balancers that do not
+	// know the target report nothing, so the store may have lost the entry. The time doubles with each check, at most
+	// maxCheckDoublings times, since the balancers do not report to targets that are not in use either.
+	checkInterval     = 8 * time.Second
+	maxCheckDoublings = 4
+	// MaxCheckDelay bounds the delay of a check after a restoration of the store. It spreads the reads of a fleet.
+	MaxCheckDelay = 2 * time.Second
+)
+
 // Writer decides which calls bring the entry of an agent's target into the store. Each write names the revision that it
 // replaces, so that a delayed write of an earlier process cannot overwrite a later one. Only one call is in progress at a time.
 //
 // A Writer reads the entry before its first write and after a call with an unknown outcome. When the store refuses a write
 // because the revision has changed, the store returns the entry that it holds; HandleRead records that as well.
+//
+// A store that is restored from a copy loses entries that it has acknowledged. So the Writer also reads the entry when a balancer
+// reports a new era of the store, and from time to time while no balancer reports anything. It writes again what is missing or
+// older than before.
 type Writer struct {
 	// desired is the entry that the store has to hold, or the zero Entry if there is none yet. stored is the entry that it
 	// holds, or the zero Entry if it holds none or one that cannot be decoded.
 	desired, stored Entry
-	revision        store.Version
-	// isRead is set once the stored entry has been read. isUncertain is set from a call whose outcome is unknown until the next
-	// read.
-	isRead, isUncertain bool
-	failedCalls         int
-	retryAt             time.Time
+	// revision is the version with which the store returned the stored entry. Its era is that of the store at that time, and its
+	// revision zero if there was no entry.
+	revision store.Version
+	// joined is the version at which the target joined, or zero while it is not known to be in the store. It outlasts the loss of
+	// the entry.
+	joined store.Version
+	// isRead is set once the stored entry has been read. isUncertain is set from a call whose outcome is unknown, or a report of a
+	// new era, until the next read. isOutdated is set while the store holds an older entry than before, or none. hadEntry is set
+	// once the store has held an entry.
+	isRead, isUncertain, isOutdated, hadEntry bool
+	failedCalls                               int
+	retryAt                                   time.Time
+	// reportedEra is the highest era that a balancer has reported. confirmedAt is when a balancer or the store last confirmed the
+	// entry, or zero, and checks counts the checks since the last report, up to maxCheckDoublings.
+	reportedEra uint64
+	confirmedAt time.Time
+	checks      int
 }
 
 // SetDesired sets the entry that the store has to hold.
-func (w *Writer) SetDesired(e Entry) { w.desired = e }
+func (w *Writer) SetDesired(e Entry) {
+	if e.HasLeft || e.Service != w.desired.Service {
+		w.joined = 0
+	}
+	w.desired = e
+}
 
 // IsUpToDate reports whether the store is known to hold the desired entry, or none is desired yet.
 func (w *Writer) IsUpToDate() bool {
-	return w.desired == Entry{} || w.isStoredKnown() && w.stored.matches(w.desired)
+	return w.desired == Entry{} || w.isStoredKnown() && !w.isOutdated && w.stored.matches(w.desired)
 }
 
-// Next returns the call that is due, or Idle and the time until a call is due. The time is zero if the entry is up to date.
+// Next returns the call that is due, or Idle and the time until a call is due. The time is zero if none is.
 func (w *Writer) Next(now time.Time) (Step, time.Duration) {
 	switch {
 	case w.IsUpToDate():
-		return Idle, 0
+		return w.nextCheck(now)
 	case now.Before(w.retryAt):
 		return Idle, w.retryAt.Sub(now)
 	case !w.isStoredKnown():
@@ -63,49 +93,130 @@
 	}
 }
 
-// NextWrite returns the entry to write and the revision that it replaces. A target that is in the store already keeps the
-// revision at which it joined.
+// nextCheck returns the next call while the entry is up to date.
+func (w *Writer) nextCheck(now time.Time) (Step, time.Duration) {
+	if w.confirmedAt.IsZero() || w.desired == (Entry{}) {
+		return Idle, 0
+	}
+	wait := w.confirmedAt.Add(checkInterval << w.checks).Sub(now)
+	if wait <= 0 {
+		return Read, 0
+	}
+	return Idle, wait
+}
+
+// NextWrite returns the entry to write and the revision that it replaces. A target that has joined already keeps the version at
+// which it did.
 func (w *Writer) NextWrite() (Entry, store.Version) {
 	e := w.desired
 	e.Era = w.revision.Era()
-	if !e.HasLeft && w.hasDesiredTarget() {
-		e = e.withJoinVersion(w.stored.JoinVersion(w.stored.Version(w.revision)))
+	if e.HasLeft {
+		return e, w.revision
+	}
+	switch {
+	case w.joined > 0:
+		e = e.withJoinVersion(w.joined)
+	case w.hasDesiredTarget():
+		e = e.withJoinVersion(w.stored.JoinVersion(w.storedVersion()))
 	}
 	return e, w.revision
 }
 
+// storedVersion returns the version of the stored entry, or zero if there is none.
+func (w *Writer) storedVersion() store.Version {
+	if w.revision.Revision() == 0 {
+		return 0
+	}
+	return w.stored.Version(w.revision)
+}
+
 // hasDesiredTarget reports whether the stored entry is that of a target of the desired service that has not left.
 func (w *Writer) hasDesiredTarget() bool {
 	return !w.stored.HasLeft && w.stored.Service == w.desired.Service
 }
 
-// NextWriteJoins reports whether the next write makes the target join: the balancers do not know it yet.
+// NextWriteJoins reports whether the next write makes the target join: the balancers do not know it yet. A target whose entry
+// was lost does not join again.
 func (w *Writer) NextWriteJoins() bool {
-	return w.isStoredKnown() && !w.desired.HasLeft && !w.hasDesiredTarget()
+	return w.isStoredKnown() && !w.desired.HasLeft && !w.hasDesiredTarget() && w.joined == 0
 }
 
+// NextWriteCreates reports whether the next write creates the entry: the store has not held any since this process started.
+func (w *Writer) NextWriteCreates() bool { return w.isStoredKnown() && !w.hadEntry }
+
 // isStoredKnown reports whether the Writer knows what the store holds.
 func (w *Writer) isStoredKnown() bool { return w.isRead && !w.isUncertain }
 
 // HandleRead records the result of a read, or the entry that the store returned when it refused a write. A revision of zero
 // means that there is no entry. A value that cannot be decoded is an error, and is replaced by the next write.
-func (w *Writer) HandleRead(value []byte, revision store.Version) error {
+func (w *Writer) HandleRead(value []byte, returned store.Version) error {
 	e, err := Decode(value)
-	if revision.Revision() == 0 {
+	if returned.Revision() == 0 {
 		err = nil
 	}
-	w.HandleWritten(e, revision)
+	previous := w.storedVersion()
+	w.record(e, returned)
+	w.isOutdated = w.storedVersion() < previous
 	return err
 }
 
-// HandleWritten records that the store holds an entry at a revision.
-func (w *Writer) HandleWritten(e Entry, revision store.Version) {
-	w.stored, w.revision, w.isRead, w.isUncertain, w.failedCalls = e, revision, true, false, 0
+// HandleWritten records that the store has written an entry at a version. If the store was restored during the call, the entry
+// names an era in which it was not written, and has to be written again.
+func (w *Writer) HandleWritten(e Entry, returned store.Version) {
+	if e.Era != returned.Era() {
+		e = Entry{}
+	}
+	w.record(e, returned)
+	w.isOutdated = false
+}
+
+func (w *Writer) record(e Entry, returned store.Version) {
+	w.stored, w.revision, w.isRead, w.isUncertain, w.failedCalls = e, returned, true, false, 0
+	w.hadEntry = w.hadEntry || returned.Revision() > 0
+	if w.joined == 0 && !w.desired.HasLeft && w.hasDesiredTarget() {
+		w.joined = e.JoinVersion(w.storedVersion())
+	}
 }
 
+// IsOutdated reports whether the store holds no entry, or an older one than before: it was restored from a copy.
+func (w *Writer) IsOutdated() bool { return w.isOutdated }
+
 // HandleUnknownOutcome records a call whose outcome is unknown. The entry is read again, after a delay, before it is written.
 func (w *Writer) HandleUnknownOutcome(now time.Time) {
 	w.isUncertain = true
 	w.retryAt = now.Add(retryWaits[min(w.failedCalls, len(retryWaits)-1)])
 	w.failedCalls++
 }
+
+// HandleFailedRead records a read that failed. The failure of a check changes nothing; the next check is due later.
+func (w *Writer) HandleFailedRead(now time.Time) {
+	if w.IsUpToDate() {
+		w.RecordCall(now)
+		return
+	}
+	w.HandleUnknownOutcome(now)
+}
+
+// RecordCall records the time of a call, before its result is handled.
+func (w *Writer) RecordCall(now time.Time) {
+	w.confirmedAt = now
+	if w.IsUpToDate() {
+		w.checks = min(w.checks+1, maxCheckDoublings)
+	}
+}
+
+// HandleReport records that a balancer which knows the target has reported the era of the store. When the era has risen, the
+// entry is read again after a delay, which differs between agents. HandleReport then returns true.
+func (w *Writer) HandleReport(now time.Time, era uint64, delay time.Duration) bool {
+	if era < w.revision.Era() {
+		return false
+	}
+	if !w.confirmedAt.IsZero() {
+		w.confirmedAt, w.checks = now, 0
+	}
+	if !w.isStoredKnown() || era <= max(w.revision.Era(), w.reportedEra) {
+		return false
+	}
+	w.reportedEra, w.isUncertain, w.retryAt = era, true, now.Add(delay)
+	return true
+}
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -95,6 +95,11 @@
 		return
 	}
 	s.writer.SetDesired(entry)
+	s.wakeWriter()
+}
+
+// wakeWriter makes the duty that maintains the entry look for a call that is due.
+func (s *Sidecar) wakeWriter() {
 	select {
 	case s.entryChanged <- struct{}{}:
 	default:
@@ -196,14 +201,19 @@
 		s.handleStoreSuccess()
 		s.handleStoredEntry(item)
 	default:
+		s.writer.HandleFailedRead(time.Now())
 		s.handleStoreFailure(err, "read entry")
 	}
 }
 
 // handleStoredEntry records the entry that the store holds. The caller holds mu.
 func (s *Sidecar) handleStoredEntry(item store.Item) {
+	s.writer.RecordCall(time.Now())
 	err := s.writer.HandleRead(item.Value, item.Version)
 	s.updateJoining()
+	if s.writer.IsOutdated() {
+		s.deps.Log.Emit(events.EntryLost, events.F("revision", item.Version.Revision()), events.F("era", item.Version.Era()))
+	}
 	if err != nil {
 		s.deps.Log.Emit(events.TargetEntryRefused, events.F("key", item.Key), events.F("revision", item.Version.Revision()),
 			events.Err(err))
@@ -221,9 +231,11 @@
 	switch {
 	case err == nil:
 		s.handleStoreSuccess()
+		isCreated := s.writer.NextWriteCreates()
+		s.writer.RecordCall(time.Now())
 		s.writer.HandleWritten(entry, item.Version)
 		s.updateJoining()
-		if revision.Revision() == 0 {
+		if isCreated {
 			s.gate.SetEntryCreated()
 		}
 		if entry.HasLeft {
@@ -235,13 +247,22 @@
 	case eris.Is(err, store.ErrConflict) && item.Version != revision:
 		s.handleStoredEntry(item)
 	default:
+		s.writer.HandleUnknownOutcome(time.Now())
 		s.handleStoreFailure(err, "write entry")
 	}
 }
 
-// handleStoreFailure records that a store call failed: its outcome is not known. The caller holds mu.
+// handleBalancerEra records the era of the store that a balancer has reported. The balancer knows the target.
+func (s *Sidecar) handleBalancerEra(now time.Time, era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writer.HandleReport(now, era, s.checkDelay) {
+		s.wakeWriter()
+	}
+}
+
+// handleStoreFailure records that a store call failed. The caller holds mu.
 func (s *Sidecar) handleStoreFailure(err error, step string) {
-	s.writer.HandleUnknownOutcome(time.Now())
 	s.isStoreUnavailable = true
 	s.deps.Log.Emit(events.StoreUnavailable, events.F("step", step), events.F("peer", "store"), events.Err(err))
 }
--- a/internal/opaque/sidecar/ping.go
+++ b/internal/opaque/sidecar/ping.go
@@ -6,6 +6,7 @@
 
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/readers"
+	"gentianswitch/internal/store"
 )
 
 // handlePing answers a balancer's ping. The pong contains the highest configuration version that any balancer has reported,
@@ -21,6 +22,7 @@
 	if status.Configuration.Version >= s.newestConfiguration.Version {
 		s.newestConfiguration = status.Configuration
 	}
+	s.handleBalancerEra(now, store.Version(status.Revision).Era())
 	update := s.hub.HandleStatus(now, h.Origin, status)
 	groupStatus := hop.GroupStatus{Configuration: s.newestConfiguration, Uptime: now.Sub(s.startedAt)}
 	if status.Group != 0 {
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
@@ -78,8 +79,10 @@
 	data      *net.UDPConn
 	outbound  *net.UDPConn
 	counters  counters
-	// entryChanged is signalled when the target's entry has to be written.
+	// entryChanged is signalled when the target's entry has to be written or checked.
 	entryChanged chan struct{}
+	// checkDelay is the delay of the check of the entry after a restoration of the store.
+	checkDelay time.Duration
 
 	// newestConfiguration is the highest configuration version that a balancer has reported, and a balancer that holds it. hub
 	// holds the status of the balancers that exchange it through this agent. Only receiveFrames uses them.
@@ -101,11 +104,16 @@
 	self := hop.IP(settings.Data.Addr().As4())
 	return &Sidecar{
 		settings: settings, deps: deps, self: self, startedAt: time.Now(), counters: newCounters(deps.Scope),
-		entryChanged: make(chan struct{}, 1), hub: readers.NewHub(),
+		entryChanged: make(chan struct{}, 1), checkDelay: checkDelay(self), hub: readers.NewHub(),
 		gate: gate.New[[]byte](resident.New(time.Now(), self, settings.Service, settings.FlowLifetime)),
 	}
 }
 
+// checkDelay returns a delay up to registry.MaxCheckDelay, which is derived from the agent's address.
+func checkDelay(self hop.IP) time.Duration {
+	return time.Duration(xxhash.Sum64(self[:]) % uint64(registry.MaxCheckDelay))
+}
+
 // Run serves until stopping is canceled, and after that until the agent may shut down or the grace time is nearly over. A
 // draining target, for example, first finishes its flows (see resident.Machine.CanStop). Any other target continues, and the
 // next agent process takes over. Run returns the error that ended it early.
