No flow is reset for want of a target while a restored store may lack entries

Cause: before a balancer resets a flow that no candidate holds, it makes sure that its view contains every target in the store. After a restoration that is no proof: the store may lack entries of targets that serve, until their agents have written them again. A balancer that starts then does not even know that there were more. Likewise an agent that finds no entry of its own took that for proof that no earlier process had carried flows.

Change: an era of the store is settled once agents had time to write their entries again: 15 s after a balancer has observed the era without an outage of the store, and while no agent that answers pings is missing from the store. A balancer that watches the store then writes the era to the key gentian/era; everybody learns of it by the watch, by the list of the store, or from other balancers. Until then packets of open flows that all candidates decline are dropped, not answered with a reset. A store that is empty when first read is settled at once. An agent whose entry is missing reads that key before it takes its flow table for complete.

Cost: one write for each era and one read at the first start of an agent on a VM. Callers of flows that ended with a lost VM get no reset for 15 s after a restoration.

Evidence: the spec on a balancer that starts then fails without the change (the flow was reset) and passes with it.

--- a/integration/opaque_restored_test.go
+++ b/integration/opaque_restored_test.go
@@ -96,4 +96,51 @@
 		restore(d, backup)
 		Eventually(func() bool { return storedEntry(d, d.agents[0]).IsDraining }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
 	})
+
+	// Guards against resets of open flows by balancers that start on a restored store: it lacks the entry of the flow's target, and
+	// the target's agent has not written it again yet.
+	It("lacks the target of an open flow, and a balancer that starts then does not reset the flow", func() {
+		d := newOpaqueDeployment(2, 1)
+		backup := d.store.Copy()
+		link, err := standin.NewProxy(d.store.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(link.Close)
+		d.storeAddress = link.Address
+		d.addTarget("lines")
+		d.awaitReady()
+		target := d.targets[1]
+		c := openFlowAt(d, target)
+		link.SetMode(standin.RefuseConnections)
+		restore(d, backup)
+		for _, p := range d.balancers {
+			p.restart()
+			Eventually(func() bool { return d.isReady(p) }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+		}
+		_, err = c.SendRequest("nobody knows the target")
+		Expect(err).To(MatchError(standin.ErrNoAnswer), "silence, but no reset")
+		link.SetMode(standin.PassAll)
+		Eventually(func() error {
+			name, err := c.SendRequest("after")
+			if err == nil {
+				Expect(name).To(Equal(target.Name))
+			}
+			return err
+		}).WithTimeout(3 * opaqueWaitLimit).Should(Succeed())
+	})
 })
+
+// openFlowAt returns a caller with an open flow at a target.
+func openFlowAt(d *opaqueDeployment, target *standin.Target) *standin.Caller {
+	GinkgoHelper()
+	for range 100 {
+		c := d.newCaller(alwaysVia(d.balancers[0]))
+		Expect(c.Open()).To(Succeed())
+		name, err := c.SendRequest("before")
+		Expect(err).NotTo(HaveOccurred())
+		if name == target.Name {
+			return c
+		}
+	}
+	Fail("no flow was opened at " + target.Name)
+	return nil
+}
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -57,6 +57,9 @@
 	EntryWritten = define(315, logrus.InfoLevel, "entry written",
 		"The target's entry was written to the store.", "revision", "era", "draining", "left", "complete")
 
+	EraSettled = define(417, logrus.InfoLevel, "era settled",
+		"All agents had time to write entries again that the restored store had lost. Until now, no flow was reset because no known "+
+			"target holds it.", "era", "targets")
 	EntryLost = define(317, logrus.WarnLevel, "entry lost",
 		"The store was restored from a copy and lacks the target's entry, or holds an older one at this revision. The agent writes "+
 			"the entry again.", "revision", "era")
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -19,6 +19,8 @@
 	Entry    registry.Entry
 	Revision store.Version
 	State    Reachability
+	// IsMissing is set while the restored store lacks the target's entry, which is of an earlier era.
+	IsMissing bool
 	// EntryReceivedAt is when the balancer received the entry. AnsweredAt is when the agent last answered a ping, or zero.
 	EntryReceivedAt, AnsweredAt time.Time
 
@@ -78,6 +80,16 @@
 	return all
 }
 
+// HasReachableMissing reports whether the restored store lacks the entry of a target whose agent answers pings.
+func (d *Directory) HasReachableMissing() bool {
+	for _, t := range d.targets {
+		if t.IsMissing && t.State == Reachable {
+			return true
+		}
+	}
+	return false
+}
+
 // EachRemoved calls visit for each agent whose target was removed at a revision above after.
 func (d *Directory) EachRemoved(after store.Version, visit func(agent hop.IP, revision store.Version)) {
 	for agent, revision := range d.removalRevisions {
@@ -112,7 +124,7 @@
 		d.targets[agent] = known
 	}
 	known.Entry, known.Revision, known.service = e, revision, desired.ServiceKeyOf(e.Service)
-	known.EntryReceivedAt = now
+	known.EntryReceivedAt, known.IsMissing = now, false
 	d.rebuildView()
 	return Change{Target: *known, Reason: "entry"}, true
 }
@@ -136,7 +148,11 @@
 func (d *Directory) Retain(listed map[hop.IP]struct{}, revision store.Version) []Change {
 	var changes []Change
 	for agent, t := range d.targets {
-		if _, ok := listed[agent]; ok || t.Revision.Era() < revision.Era() {
+		if _, ok := listed[agent]; ok {
+			continue
+		}
+		if t.Revision.Era() < revision.Era() {
+			t.IsMissing = true
 			continue
 		}
 		if change, ok := d.HandleRemoval(agent, revision); ok {
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -106,6 +106,7 @@
 	if state.Configuration.Revision > 0 {
 		f.applyFetchedConfiguration(state.Configuration, from)
 	}
+	f.recordFetchedEra(state)
 	f.applyFetchedTargets(state)
 	if state.IsSufficientFor(request) {
 		f.mu.Lock()
@@ -115,6 +116,17 @@
 	}
 }
 
+// recordFetchedEra records the era of another balancer's state, and whether it is settled.
+func (f *Forwarder) recordFetchedEra(state handover.State) {
+	if state.Revision == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settlement.Observe(time.Now(), state.Revision.Era())
+	f.settlement.HandleSettled(state.SettledEra)
+}
+
 // handoverRequest returns a request for what this balancer lacks.
 func (f *Forwarder) handoverRequest() handover.Request {
 	return handover.Request{ConfigurationVersion: f.configurationVersion(), After: f.revision()}
@@ -165,7 +177,10 @@
 func (f *Forwarder) handoverState(request handover.Request) handover.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state := handover.State{Revision: f.appliedRevision, IsSnapshot: request.After < f.snapshotRevision || request.After == 0}
+	state := handover.State{
+		Revision: f.appliedRevision, SettledEra: f.settlement.Settled(),
+		IsSnapshot: request.After < f.snapshotRevision || request.After == 0,
+	}
 	after := request.After
 	if state.IsSnapshot {
 		after = 0
--- a/internal/opaque/forwarder/entries.go
+++ b/internal/opaque/forwarder/entries.go
@@ -11,11 +11,14 @@
 	"gentianswitch/internal/store"
 )
 
-// applyTargetList applies a list of all target entries, read from the store at a revision. Targets that it lacks are removed,
-// unless their entries are newer.
+// applyTargetList applies the target entries in a list, read from the store at a revision. Targets that it lacks are removed,
+// unless their entries are newer or of an earlier era.
 func (f *Forwarder) applyTargetList(items []store.Item, at store.Version) {
 	listed := make(map[hop.IP]struct{}, len(items))
 	for _, item := range items {
+		if !strings.HasPrefix(item.Key, registry.Prefix) {
+			continue
+		}
 		if agent, ok := f.applyEntry(item); ok {
 			listed[agent] = struct{}{}
 		}
@@ -39,11 +42,14 @@
 	f.mu.Unlock()
 }
 
-// applyChange applies a change of the store: a new configuration, or a new or removed target entry. Other keys are ignored.
+// applyChange applies a change of the store: a new configuration, a settled era, or a new or removed target entry. Other keys are
+// ignored.
 func (f *Forwarder) applyChange(change store.Change) {
 	switch {
 	case change.Key == f.deps.Configuration.Key && !change.IsDeleted:
 		f.applyConfiguration(change.Item, sourceStore)
+	case change.Key == registry.EraKey && !change.IsDeleted:
+		f.handleRecordedEra(change.Item)
 	case !strings.HasPrefix(change.Key, registry.Prefix):
 	case change.IsDeleted:
 		f.removeEntry(change.Item)
--- a/internal/opaque/forwarder/revalidate.go
+++ b/internal/opaque/forwarder/revalidate.go
@@ -120,9 +120,22 @@
 	if isFresh, err := f.isViewFresh(); err != nil || isFresh {
 		return err
 	}
+	if err := f.checkSettled(); err != nil {
+		return err
+	}
 	return f.refreshTargets(ctx)
 }
 
+// checkSettled returns registry.ErrUnsettled while the store may lack entries of targets.
+func (f *Forwarder) checkSettled() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.settlement.IsSettled() {
+		return registry.ErrUnsettled
+	}
+	return nil
+}
+
 // refreshTargets makes the view include every target that a recent store read found, and extends its freshness from the start
 // of that read. It lists the targets only when an entry has changed since the last applied revision, or when no revision
 // has been applied.
@@ -132,27 +145,30 @@
 		return err
 	}
 	if applied := f.revision(); applied > 0 && latest.value <= applied {
-		f.extendFreshness(latest.startedAt)
-		return nil
+		return f.extendFreshness(latest.startedAt)
 	}
 	startedAt, err := bootTime()
 	if err != nil {
 		return err
 	}
-	items, at, err := f.deps.Store.List(ctx, registry.Prefix)
+	items, at, err := f.listStore(ctx)
 	if err != nil {
 		return err
 	}
 	f.applyTargetList(items, at)
-	f.extendFreshness(startedAt)
-	return nil
+	return f.extendFreshness(startedAt)
 }
 
-// extendFreshness records that the view includes the result of a store read that started at readStartedAt.
-func (f *Forwarder) extendFreshness(readStartedAt time.Duration) {
+// extendFreshness records that the view includes the result of a store read that started at readStartedAt. It returns
+// registry.ErrUnsettled, and records nothing, while the store may lack entries of targets.
+func (f *Forwarder) extendFreshness(readStartedAt time.Duration) error {
+	if err := f.checkSettled(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.freshness.extend(readStartedAt)
+	return nil
 }
 
 // latestChange returns the revision of the last change of any target's entry, read from the store at most maxSharedReadAge ago.
--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -67,6 +67,7 @@
 	switch {
 	case err == nil:
 		w.handleSuccess(at)
+		w.recordSettledEra(ctx)
 		return minWatchInterval - time.Since(started)
 	case ctx.Err() != nil:
 		return 0
@@ -119,6 +120,7 @@
 	w.mu.Lock()
 	wasUnavailable := w.isStoreUnavailable
 	w.isStoreUnavailable = true
+	w.settlement.HandleOutage(time.Now())
 	w.mu.Unlock()
 	if !wasUnavailable {
 		w.deps.Log.Emit(events.StoreUnavailable, events.F("step", "follow"), events.F("peer", "store"), events.Err(err))
@@ -171,7 +173,7 @@
 	if err != nil {
 		return 0, err
 	}
-	items, at, err := f.deps.Store.List(ctx, registry.Prefix)
+	items, at, err := f.listStore(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -183,11 +185,67 @@
 		return 0, err
 	}
 	f.applySnapshot(items, at)
-	f.extendFreshness(startedAt)
+	if err := f.extendFreshness(startedAt); err != nil && !eris.Is(err, registry.ErrUnsettled) {
+		return 0, err
+	}
 	f.updateReadiness()
 	return at, nil
 }
 
+// listStore lists everything that gentianswitch has written to the store.
+func (f *Forwarder) listStore(ctx context.Context) ([]store.Item, store.Version, error) {
+	items, at, err := f.deps.Store.List(ctx, registry.KeyPrefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	errEra := f.settlement.HandleList(time.Now(), items, at)
+	f.mu.Unlock()
+	f.logRefusedEra(errEra)
+	return items, at, nil
+}
+
+// logRefusedEra logs that the item of registry.EraKey cannot be decoded. Its era then does not count as settled.
+func (f *Forwarder) logRefusedEra(err error) {
+	if err != nil {
+		f.deps.Log.Emit(events.TargetEntryRefused, events.F("key", registry.EraKey), events.Err(err))
+	}
+}
+
+// recordSettledEra writes the store's era to the store once it is settled, unless another balancer has done so. While an agent
+// that answers pings has not written its entry again, the era is not settled. A failed write is repeated after a later call.
+func (w *watcher) recordSettledEra(ctx context.Context) {
+	w.mu.Lock()
+	var item store.Item
+	isDue := !w.directory.HasReachableMissing()
+	if isDue {
+		item, isDue = w.settlement.NextRecord(time.Now())
+	}
+	w.mu.Unlock()
+	if !isDue {
+		return
+	}
+	written, err := w.deps.Store.CompareAndSwap(ctx, item.Key, item.Version, item.Value, "")
+	if err != nil && !eris.Is(err, store.ErrConflict) {
+		w.handleFailure(err)
+		return
+	}
+	w.handleRecordedEra(written)
+}
+
+// handleRecordedEra records the item of registry.EraKey.
+func (f *Forwarder) handleRecordedEra(item store.Item) {
+	f.mu.Lock()
+	wasSettled := f.settlement.IsSettled()
+	err := f.settlement.HandleRecorded(item)
+	isSettled, era := f.settlement.IsSettled(), f.settlement.Settled()
+	f.mu.Unlock()
+	f.logRefusedEra(err)
+	if isSettled && !wasSettled {
+		f.deps.Log.Emit(events.EraSettled, events.F("era", era), events.F("targets", f.targetCount()))
+	}
+}
+
 // awaitChanges waits for changes after a revision, applies them and returns the revision to continue from.
 func (f *Forwarder) awaitChanges(ctx context.Context, after store.Version) (store.Version, error) {
 	changes, at, err := f.deps.Store.Watch(ctx, allKeys, after, maxWatchWait)
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -41,6 +41,8 @@
 type State struct {
 	// Revision is the store revision up to which the state includes all changes, or zero if the balancer does not know one.
 	Revision store.Version `msgpack:"at"`
+	// SettledEra is the highest settled era of the store, see registry.Settlement.
+	SettledEra uint64 `msgpack:"settled,omitempty"`
 	// Configuration is the operators' configuration document; its value is compressed by Pack. Its store revision is zero if
 	// the document is unknown or its version is not above that of the request.
 	Configuration Item `msgpack:"configuration"`
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -16,10 +16,10 @@
 )
 
 // Prefix is the prefix of the key of every entry. The agent's address follows it.
-const Prefix = "gentian/targets/"
+const Prefix = KeyPrefix + "targets/"
 
 // ChangesKey is a key that is written together with each entry. Its version is the revision of the last change of any entry.
-const ChangesKey = "gentian/changes"
+const ChangesKey = KeyPrefix + "changes"
 
 // Entry is what the store holds of one target. It has no lease: it survives outages of the store and power failures, and each
 // balancer decides for itself whether the agent is reachable.
--- a/internal/opaque/registry/restored_test.go
+++ b/internal/opaque/registry/restored_test.go
@@ -42,7 +42,7 @@
 	next, _ = w.Next(start.Add(time.Second))
 	g.Expect(next).To(Equal(registry.Write))
 	g.Expect(w.NextWriteJoins()).To(BeFalse(), "balancers know the target, and it has open flows")
-	g.Expect(w.NextWriteCreates()).To(BeFalse(), "earlier processes may have written an entry")
+	g.Expect(w.HadEntry()).To(BeTrue(), "earlier processes may have written an entry")
 	e, replaced := w.NextWrite()
 	g.Expect(replaced.Revision()).To(BeZero())
 	g.Expect(e.Version(versionIn(2, 17))).To(Equal(versionIn(2, 17)))
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -141,8 +141,8 @@
 	return w.isStoredKnown() && !w.desired.HasLeft && !w.hasDesiredTarget() && w.joined == 0
 }
 
-// NextWriteCreates reports whether the next write creates the entry: the store has not held any since this process started.
-func (w *Writer) NextWriteCreates() bool { return w.isStoredKnown() && !w.hadEntry }
+// HadEntry reports whether the store has held an entry since this process started, as far as it knows.
+func (w *Writer) HadEntry() bool { return w.hadEntry }
 
 // isStoredKnown reports whether the Writer knows what the store holds.
 func (w *Writer) isStoredKnown() bool { return w.isRead && !w.isUncertain }
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -194,6 +194,9 @@
 
 func (s *Sidecar) readEntry(ctx context.Context) {
 	item, err := s.deps.Store.Read(ctx, registry.Key(s.self))
+	if eris.Is(err, store.ErrNotFound) && !s.hadEntry() {
+		s.checkNeverWritten(ctx)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -206,6 +209,27 @@
 	}
 }
 
+func (s *Sidecar) hadEntry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writer.HadEntry()
+}
+
+// checkNeverWritten records whether an entry that the store does not hold has never been written: the store cannot have lost it.
+func (s *Sidecar) checkNeverWritten(ctx context.Context) {
+	item, err := s.deps.Store.Read(ctx, registry.EraKey)
+	mayLackEntries := true
+	if err == nil || eris.Is(err, store.ErrNotFound) {
+		mayLackEntries, err = registry.MayLackEntries(item)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isNeverWritten = !mayLackEntries
+	if err != nil {
+		s.deps.Log.Emit(events.StoreUnavailable, events.F("step", "read era"), events.F("peer", "store"), events.Err(err))
+	}
+}
+
 // handleStoredEntry records the entry that the store holds. The caller holds mu.
 func (s *Sidecar) handleStoredEntry(item store.Item) {
 	s.writer.RecordCall(time.Now())
@@ -231,7 +255,7 @@
 	switch {
 	case err == nil:
 		s.handleStoreSuccess()
-		isCreated := s.writer.NextWriteCreates()
+		isCreated := s.isNeverWritten && !s.writer.HadEntry()
 		s.writer.RecordCall(time.Now())
 		s.writer.HandleWritten(entry, item.Version)
 		s.updateJoining()
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -95,6 +95,8 @@
 	writer registry.Writer
 	// lastHeartbeatAt is when the last heartbeat of the target was received, or zero.
 	lastHeartbeatAt time.Time
+	// isNeverWritten is set while the store holds no entry and cannot have lost one.
+	isNeverWritten bool
 	// isStoreUnavailable is set from a failed store call until one succeeds.
 	isStoreUnavailable bool
 }
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -44,7 +44,7 @@
 	// restored from a copy since that version.
 	Watch(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Change, Version, error)
 	// CompareAndSwap writes a value if the key has the given version, which is zero for a key that does not exist. It writes
-	// the key mark in the same transaction. The version of mark therefore shows whether any key that is written with this mark
+	// the key mark, unless that is empty, in the same transaction. The version of mark therefore shows whether any key that is written with this mark
 	// has changed. With ErrConflict it returns the current item.
 	CompareAndSwap(ctx context.Context, key string, version Version, value []byte, mark string) (Item, error)
 }
