Random histories in which the store is restored from copies

On the way the histories found two mistakes of their own model, not of the code: a view read before an era was settled counted as revalidated, and an era was settled before the target of a restarted agent had sent a heartbeat (2.5 heartbeat intervals at most).

--- a/internal/opaque/proof/proof_test.go
+++ b/internal/opaque/proof/proof_test.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// restorationActions returns the events of a history in which the store is restored from copies.
+func (s *simulation) restorationActions() map[string]func(*rapid.T) {
+	actions := s.actions()
+	actions["the store is copied"] = func(*rapid.T) { s.copyStore() }
+	actions["the store is restored"] = func(*rapid.T) { s.restoreStore() }
+	actions["an agent checks its entry"] = func(*rapid.T) { s.checkEntry(s.drawHost()) }
+	actions["all agents check their entries"] = func(*rapid.T) { s.checkAllEntries() }
+	return actions
+}
+
 // cutOff makes a VM unreachable, for frames and for pings.
 func (s *simulation) cutOff(h *host) {
 	if !h.isCut {
@@ -243,9 +253,31 @@
 	})
 }
 
-// runHistory runs random actions and checks the opening packets after each.
-func runHistory(t *rapid.T, s *simulation) {
-	actions := s.actions()
+// TestOpenFlowsOutlastRestorationsOfTheStore checks the same while the store is restored from copies: it loses entries, and shows
+// earlier ones again.
+func TestOpenFlowsOutlastRestorationsOfTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t, 1, 4)
+		runActions(t, s, s.restorationActions())
+	})
+}
+
+// TestOpenFlowsAmongManyTargetsOutlastRestorationsOfTheStore checks the same where a candidate search tries only some of the
+// targets, so that it relies on the order in which they joined.
+func TestOpenFlowsAmongManyTargetsOutlastRestorationsOfTheStore(t *testing.T) {
+	setHistoryCount(t, manyTargetsHistories)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t, 3, 20)
+		s.maxHosts = 40
+		runActions(t, s, s.restorationActions())
+	})
+}
+
+// runHistory runs random actions without restorations of the store.
+func runHistory(t *rapid.T, s *simulation) { runActions(t, s, s.actions()) }
+
+// runActions runs random actions and checks the opening packets after each.
+func runActions(t *rapid.T, s *simulation, actions map[string]func(*rapid.T)) {
 	actions[""] = s.checkOpeningPackets
 	for name, action := range actions {
 		actions[name] = func(step *rapid.T) {
--- a/internal/opaque/proof/simulation_test.go
+++ b/internal/opaque/proof/simulation_test.go
@@ -59,7 +59,7 @@
 type balancer struct {
 	steer     *steer.Machine
 	directory *directory.Directory
-	// revalidatedAt is when the balancer last read all targets from the store to revalidate its view.
+	// revalidatedAt is when the balancer last read all targets from a settled store to revalidate its view.
 	revalidatedAt time.Time
 }
 
@@ -67,9 +67,12 @@
 type simulation struct {
 	t   *rapid.T
 	now time.Time
-	// revision and entries are the contents of the store.
-	revision       store.Version
-	entries        map[hop.IP]storedEntry
+	// revision and entries are the contents of the store, and backup is a copy of them.
+	revision store.Version
+	entries  map[hop.IP]storedEntry
+	backup   backup
+	// settledEra is the highest era in which every agent has checked its entry.
+	settledEra     uint64
 	hosts          []*host
 	balancers      []*balancer
 	lastCallerPort uint16
@@ -109,9 +112,6 @@
 
 func (s *simulation) addHost(n byte, service string) {
 	h := &host{ip: hop.IP{10, 1, 0, n}, service: service, zone: rapid.SampledFrom(zones).Draw(s.t, "zone")}
-	if err := h.writer.HandleRead(nil, 0); err != nil {
-		s.t.Fatal(err)
-	}
 	s.hosts = append(s.hosts, h)
 	s.startHost(h)
 }
@@ -132,6 +132,7 @@
 
 func (s *simulation) startAgent(h *host) {
 	h.agent = resident.New(s.now, h.ip, h.service, flowLifetime)
+	h.writer = registry.Writer{}
 }
 
 // startTarget starts a target, which sends no heartbeat yet.
@@ -167,23 +168,45 @@
 // writeEntry writes the entry of a host's target to the store if it differs from what the store holds.
 func (s *simulation) writeEntry(h *host) {
 	h.writer.SetDesired(h.agent.Entry())
+	if next, _ := h.writer.Next(s.now); next == registry.Read {
+		s.readEntry(h)
+	}
 	if h.writer.IsUpToDate() {
 		return
 	}
 	s.revision++
-	entry, replaced := h.writer.NextWrite()
+	entry, _ := h.writer.NextWrite()
 	if joins := h.writer.NextWriteJoins(); joins {
 		h.agent.SetJoining(s.now, true)
 		h.joinedAt = s.now
 	}
-	h.writer.HandleWritten(entry, s.revision)
-	h.agent.SetJoining(s.now, false)
-	if replaced == 0 {
+	if !h.writer.HadEntry() && s.settledEra == s.revision.Era() {
 		h.agent.SetEntryCreated()
 	}
+	h.writer.HandleWritten(entry, s.revision)
+	h.agent.SetJoining(s.now, false)
 	s.entries[h.ip] = storedEntry{entry: entry, revision: s.revision}
 }
 
+// readEntry lets an agent read the entry of its target.
+func (s *simulation) readEntry(h *host) {
+	stored, ok := s.entries[h.ip]
+	if !ok {
+		stored.revision = store.Version(0).InEra(s.revision.Era())
+	}
+	var raw []byte
+	var err error
+	if ok {
+		raw, err = stored.entry.Encode()
+	}
+	if err == nil {
+		err = h.writer.HandleRead(raw, stored.revision.InEra(s.revision.Era()))
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 func (s *simulation) newBalancer() *balancer {
 	zone := rapid.SampledFrom(zones).Draw(s.t, "zone of a balancer")
 	b := &balancer{steer: steer.New(hop.IP{10, 9, 0, 1}), directory: directory.New(hop.IP{10, 9, 0, 1}, zone)}
@@ -192,19 +215,32 @@
 		{Service: desired.ServiceKeyOf(routedService), Name: routedService, Weight: 1},
 	}})
 	b.steer.SetTable(s.now, table)
-	s.applyEntries(b)
-	b.revalidatedAt = s.now
+	s.revalidate(b)
 	return b
 }
 
 // applyEntries brings a balancer's view up to date with the store.
 func (s *simulation) applyEntries(b *balancer) {
+	listed := make(map[hop.IP]struct{}, len(s.entries))
 	for ip, stored := range s.entries {
-		b.directory.HandleEntry(s.now, ip, stored.entry, stored.revision)
+		b.directory.HandleEntry(s.now, ip, stored.entry, stored.revision.InEra(s.revision.Era()))
+		listed[ip] = struct{}{}
 	}
+	b.directory.Retain(listed, s.revision)
 	b.steer.SetView(b.directory.View())
 }
 
+// revalidate brings a balancer's view up to date with the store. It reports false, and the view does not count as revalidated,
+// while the store may lack entries.
+func (s *simulation) revalidate(b *balancer) bool {
+	s.applyEntries(b)
+	if s.settledEra < s.revision.Era() {
+		return false
+	}
+	b.revalidatedAt = s.now
+	return true
+}
+
 func everyHost(*host) bool { return true }
 
 // drawOnlyHost returns a filter that selects one random host.
@@ -303,9 +339,8 @@
 			}
 			return deliveryResult{isReset: true}
 		case steer.Revalidate:
-			if s.now.Sub(b.revalidatedAt) >= registry.JoinDelay {
-				s.applyEntries(b)
-				b.revalidatedAt = s.now
+			if s.now.Sub(b.revalidatedAt) >= registry.JoinDelay && !s.revalidate(b) {
+				return deliveryResult{isLost: true}
 			}
 			d = b.steer.HandleRevalidated(s.now, &p, &d.Header)
 			continue
