Balancers of the QUIC path apply a head that has the version of a lost one

What callers would see: a change accepted after the store was restored is not in force on a balancer that was cut off from the store meanwhile, and whose peers do not reach it either.

A reader compared the version of the head with the one that it handled last. A restored store counts on from the copy, so that a later head can have the version of a lost one.

Change: heads are compared by version and content, and after a failed call the head is watched from version zero, so that the store answers at once and not after the wait of 10 s.

--- a/internal/balancer/configuration_store.go
+++ b/internal/balancer/configuration_store.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -26,9 +27,9 @@
 type storeReader struct {
 	balancer  *Balancer
 	revisions *revision.Log
-	// headVersion is the store version of the head that was handled last, or 0.
-	headVersion store.Version
-	retry       *backoff.ExponentialBackOff
+	// head is the head that was handled last, or zero. A store that was restored from a copy may give its version to another head.
+	head  store.Entry
+	retry *backoff.ExponentialBackOff
 	// isFailing is true while the last call to the store has failed.
 	isFailing bool
 }
@@ -62,7 +63,7 @@
 
 // waitForChange waits up to watchTimeout for a change of the head and applies it.
 func (r *storeReader) waitForChange(ctx context.Context) error {
-	entry, err := r.balancer.store.Watch(ctx, revision.HeadKey, r.headVersion, watchTimeout)
+	entry, err := r.balancer.store.Watch(ctx, revision.HeadKey, r.watchAfter(), watchTimeout)
 	if eris.Is(err, store.ErrNotFound) {
 		r.handleMissingHead(ctx)
 		return nil
@@ -70,16 +71,25 @@
 	if err != nil {
 		return err
 	}
-	if entry.Version == r.headVersion {
+	if entry.Version == r.head.Version && bytes.Equal(entry.Value, r.head.Value) {
 		return nil
 	}
 	if err := r.applyHead(ctx, entry.Value); err != nil {
 		return err
 	}
-	r.headVersion = entry.Version
+	r.head = entry
 	return nil
 }
 
+// watchAfter returns the version after which the head is watched. After a failed call it is zero, so that the store answers at
+// once: it may have been restored meanwhile.
+func (r *storeReader) watchAfter() store.Version {
+	if r.isFailing {
+		return 0
+	}
+	return r.head.Version
+}
+
 // applyHead puts the revision that a head names in force. A head that is not newer is passed to applyRevision too, which logs
 // it.
 func (r *storeReader) applyHead(ctx context.Context, raw []byte) error {
@@ -106,10 +116,10 @@
 // disappeared is logged; the revision in force stays.
 func (r *storeReader) handleMissingHead(ctx context.Context) {
 	defer sleep(ctx, minStoreRetryDelay)
-	if r.headVersion == 0 {
+	if r.head.Version == 0 {
 		return
 	}
-	r.headVersion = 0
+	r.head = store.Entry{}
 	known := r.balancer.currentRevision()
 	r.balancer.log.Emit(events.RevisionIgnored, events.F("revision", 0), events.F("change", ""),
 		events.F("known", known.String()), events.F("reason", "the store holds no head"), events.F("source", sourceStore))
