Eras settle after 8 s, agents check their entries after 4 s

Change: agents that no balancer pings check their entries after 4 s instead of 8, which is what the time was made of. In use, agents are pinged every second, so this costs no calls there.

--- a/internal/opaque/registry/settlement.go
+++ b/internal/opaque/registry/settlement.go
@@ -20,9 +20,9 @@
 var ErrUnsettled = eris.New("the store was restored, and may lack entries of targets")
 
 const (
-	// SettleTime is the time after which an era is settled. An agent learns of the era from a ping within 2 s, or checks its entry
-	// within checkInterval after the last ping. Its read is delayed by up to MaxCheckDelay; the rest is for its calls.
-	SettleTime = 15 * time.Second
+	// SettleTime is the time after which an era is settled. An agent learns of the era from a ping within 2 s, and reads its entry
+	// after up to MaxCheckDelay; or it checks its entry checkInterval after the last ping. The rest is for its calls.
+	SettleTime = 8 * time.Second
 	// MaxSettleDelay bounds the additional delay, different for each balancer, after which a balancer writes EraKey. The others
 	// then learn of it and need not write it too.
 	MaxSettleDelay = 3 * time.Second
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -28,7 +28,7 @@
 	// checkInterval is the time without a report of a balancer after which the stored entry is read again: balancers that do not
 	// know the target report nothing, so the store may have lost the entry. The time doubles with each check, at most
 	// maxCheckDoublings times, since the balancers do not report to targets that are not in use either.
-	checkInterval     = 8 * time.Second
+	checkInterval     = 4 * time.Second
 	maxCheckDoublings = 4
 	// MaxCheckDelay bounds the delay of a check after a restoration of the store. It spreads the reads of a fleet.
 	MaxCheckDelay = 2 * time.Second
