Soak: the store is restored from copies

The schedule gets restorations beside its other faults, drawn with their own generator so that the other faults of a seed stay the same, apart from those of the store and the routes at that time. Changes of the routes and whatever agents have written since the copy are lost; the operators' last configuration is written again, and another change follows. At the end the store must hold the entry of every target, in addition to the checks so far.

--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -18,6 +18,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/platform/standin"
 )
 
@@ -40,9 +42,11 @@
 	vmCount     int
 	callerCount int
 	version     uint64
-	balancers   []*opaqueProcess
-	agents      []*opaqueProcess
-	targets     []*standin.Target
+	// document is the last configuration that was written.
+	document  []byte
+	balancers []*opaqueProcess
+	agents    []*opaqueProcess
+	targets   []*standin.Target
 	// storeAddress returns the address at which the next process that is added reaches the store.
 	storeAddress func() string
 }
@@ -122,7 +126,31 @@
 	}
 	raw, err := json.Marshal(map[string]any{"version": d.version, "routes": list})
 	Expect(err).NotTo(HaveOccurred())
-	d.store.Put("op/config", raw)
+	d.document = raw
+	d.store.Put(configurationKey, raw)
+}
+
+// configurationKey is the key of the store that holds the configuration.
+const configurationKey = "op/config"
+
+// restoreStore restores the store from a copy. The store is away for a moment, and operators write the last configuration again.
+func (d *opaqueDeployment) restoreStore(backup standin.Copy) {
+	d.store.SetFault("", standin.Reset)
+	time.Sleep(shortestFault)
+	d.store.Restore(backup)
+	d.store.SetFault("", standin.NoFault)
+	d.store.Put(configurationKey, d.document)
+}
+
+// storedEntry returns the entry of an agent's target in the store, or the zero Entry.
+func (d *opaqueDeployment) storedEntry(agent *opaqueProcess) registry.Entry {
+	raw := d.store.Value(registry.Key(hop.IP(agent.ip.As4())))
+	if raw == nil {
+		return registry.Entry{}
+	}
+	entry, err := registry.Decode(raw)
+	Expect(err).NotTo(HaveOccurred())
+	return entry
 }
 
 func (d *opaqueDeployment) addBalancer() *opaqueProcess {
--- a/integration/opaque_restored_test.go
+++ b/integration/opaque_restored_test.go
@@ -9,8 +9,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"gentianswitch/internal/opaque/hop"
-	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/platform/standin"
 )
 
@@ -25,22 +23,12 @@
 				Should(ContainSubstring(fmt.Sprintf(`"configuration":%d,"event":410`, d.version)), p.ip.String())
 		}
 	}
-	// storedEntry returns the entry of an agent's target in the store, or the zero Entry.
-	storedEntry := func(d *opaqueDeployment, agent *opaqueProcess) registry.Entry {
-		raw := d.store.Value(registry.Key(hop.IP(agent.ip.As4())))
-		if raw == nil {
-			return registry.Entry{}
-		}
-		entry, err := registry.Decode(raw)
-		Expect(err).NotTo(HaveOccurred())
-		return entry
-	}
 	// hasNoticed reports whether a process has noticed a restoration.
 	hasNoticed := func(p *opaqueProcess) bool { return strings.Contains(p.logText(), `"event":415`) }
 	// restore restores the store, and waits until each balancer has noticed that.
 	restore := func(d *opaqueDeployment, backup standin.Copy) {
 		GinkgoHelper()
-		d.store.Restore(backup)
+		d.restoreStore(backup)
 		for _, p := range d.balancers {
 			Eventually(func() bool { return hasNoticed(p) }).WithTimeout(opaqueWaitLimit).Should(BeTrue(), p.ip.String())
 		}
@@ -54,9 +42,7 @@
 		d.configure(alternateRoutes)
 		d.configure(onlyRoute)
 		expectInForce(d)
-		d.store.Restore(backup)
-		d.version -= 3
-		d.configure(onlyRoute)
+		d.restoreStore(backup)
 		Eventually(func() bool { return slices.ContainsFunc(d.balancers, hasNoticed) }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
 		d.configure(alternateRoutes)
 		expectInForce(d)
@@ -71,7 +57,7 @@
 		}
 		d.configure(alternateRoutes)
 		expectInForce(d)
-		d.store.Restore(backup)
+		d.restoreStore(backup)
 		d.configure(onlyRoute)
 		expectInForce(d)
 	})
@@ -84,7 +70,7 @@
 		d.awaitReady()
 		last := d.agents[len(d.agents)-1]
 		restore(d, backup)
-		Eventually(func() string { return storedEntry(d, last).Service }).WithTimeout(opaqueWaitLimit).Should(Equal("lines"))
+		Eventually(func() string { return d.storedEntry(last).Service }).WithTimeout(opaqueWaitLimit).Should(Equal("lines"))
 	})
 
 	// Guards against a draining target that a restored store shows as ready.
@@ -92,9 +78,9 @@
 		d := newOpaqueDeployment(2, 2)
 		backup := d.store.Copy()
 		Expect(d.targets[0].Drain()).To(Succeed())
-		Eventually(func() bool { return storedEntry(d, d.agents[0]).IsDraining }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+		Eventually(func() bool { return d.storedEntry(d.agents[0]).IsDraining }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
 		restore(d, backup)
-		Eventually(func() bool { return storedEntry(d, d.agents[0]).IsDraining }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+		Eventually(func() bool { return d.storedEntry(d.agents[0]).IsDraining }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
 	})
 
 	// Guards against resets of open flows by balancers that start on a restored store: it lacks the entry of the flow's target, and
--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -29,6 +29,8 @@
 // inject injects a fault and returns when it has ended.
 func (s *soak) inject(f fault) {
 	switch {
+	case f.kind == storeRestored:
+		s.injectRestoration(f.duration)
 	case f.kind < crashTarget:
 		s.injectProcessFault(f)
 	case f.kind < storeBusy:
@@ -86,6 +88,17 @@
 	}
 }
 
+// injectRestoration restores the store from a copy. A change of the routes and whatever the agents have written since the copy
+// is lost.
+func (s *soak) injectRestoration(age time.Duration) {
+	backup := s.store.Copy()
+	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines", soakSpareAddress: "lines"})
+	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
+	time.Sleep(age)
+	s.restoreStore(backup)
+	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines", soakSpareAddress: "lines"})
+}
+
 func (s *soak) injectNetworkFault(f fault) {
 	switch f.kind {
 	case changeRoutes:
--- a/integration/soak_schedule_test.go
+++ b/integration/soak_schedule_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -33,6 +34,8 @@
 	narrowNetwork
 	changeRoutes
 	faultKindCount
+	// storeRestored is not drawn among the other kinds; addRestorations adds it.
+	storeRestored
 )
 
 // String returns the name of the kind in the output of a soak.
@@ -41,7 +44,7 @@
 		"kill balancer", "stop balancer", "pause balancer", "kill agent", "pause agent", "kill all", "crash target",
 		"replace target", "store busy", "store resets", "store silent", "store loses answers", "store compacted",
 		"store slow", "drop store answers", "drop store traffic", "refuse store connections", "lossy network",
-		"narrow network", "change routes",
+		"narrow network", "change routes", "", "restore store",
 	}[k]
 }
 
@@ -64,6 +67,8 @@
 	// flows.
 	shortestFault = 100 * time.Millisecond
 	longestFault  = 1200 * time.Millisecond
+	// meanRestorationGap is the mean time between two restorations of the store.
+	meanRestorationGap = 5 * time.Second
 	// victimRecoveryTime is the least time between two faults of the same process, in which it recovers.
 	victimRecoveryTime = time.Second
 )
@@ -125,3 +130,35 @@
 		return []string{"store"}
 	}
 }
+
+// addRestorations adds random restorations of the store from copies. They take the place of faults of the store and the routes
+// at the same time.
+func addRestorations(faults []fault, seed uint64, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for at := time.Duration(0); ; {
+		at += longestFault + time.Duration(random.ExpFloat64()*float64(meanRestorationGap))
+		if at >= length {
+			break
+		}
+		f := fault{
+			kind: storeRestored, at: at,
+			duration: shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault))),
+		}
+		faults = slices.DeleteFunc(faults, func(other fault) bool {
+			return other.affectsStoreOrRoutes() && other.at < f.at+f.duration+victimRecoveryTime &&
+				f.at < other.at+other.duration+victimRecoveryTime
+		})
+		faults = append(faults, f)
+	}
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
+func (f fault) affectsStoreOrRoutes() bool {
+	switch f.kind {
+	case storeBusy, storeResets, storeSilent, storeLosesAnswers, storeCompacted, storeSlow, narrowNetwork, changeRoutes, storeRestored:
+		return true
+	default:
+		return false
+	}
+}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/platform/standin"
 )
 
@@ -243,6 +244,15 @@
 	}
 }
 
+// expectEntries waits until the store holds the entry of every target.
+func (s *soak) expectEntries() {
+	GinkgoHelper()
+	for _, agent := range s.agents {
+		Eventually(func() registry.Entry { return s.storedEntry(agent) }).WithTimeout(opaqueWaitLimit).
+			Should(And(HaveField("Service", "lines"), HaveField("IsDraining", false), HaveField("HasLeft", false)), agent.ip.String())
+	}
+}
+
 var _ = Describe("A soak", func() {
 	It("keeps the guarantees for opaque flows under random faults", func() {
 		GinkgoWriter.Printf("seed %d for %s\n", *soakSeed, *soakTime)
@@ -262,10 +272,12 @@
 				}
 			}
 		})
-		s.injectFaults(drawSchedule(*soakSeed, *soakTime, *soakBalancers, *soakTargets))
+		faults := drawSchedule(*soakSeed, *soakTime, *soakBalancers, *soakTargets)
+		s.injectFaults(addRestorations(faults, *soakSeed, *soakTime))
 		close(done)
 		callers.Wait()
 		s.expectRecovered()
+		s.expectEntries()
 		s.checkRunCounts()
 		s.checkProcesses()
 		GinkgoWriter.Printf("%d of %d requests answered\n", s.answered, s.sent)
