--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -76,7 +76,7 @@
 		d.addBalancer()
 	}
 	for range targets {
-		d.addTarget("lines")
+		d.addTarget()
 	}
 	d.awaitReady()
 	return d
@@ -168,12 +168,12 @@
 	return p
 }
 
-// addTarget starts a VM with an agent and a target of a service.
-func (d *opaqueDeployment) addTarget(service string) {
+// addTarget starts a VM with an agent and a target of the service "lines".
+func (d *opaqueDeployment) addTarget() {
 	ip := d.newIP()
-	p := d.startAgent(ip, service)
+	p := d.startAgent(ip, "lines")
 	d.agents = append(d.agents, p)
-	d.startTarget(ip, service)
+	d.startTarget(ip, "lines")
 }
 
 func (d *opaqueDeployment) startAgent(ip netip.Addr, service string) *opaqueProcess {
--- a/integration/opaque_restored_test.go
+++ b/integration/opaque_restored_test.go
@@ -66,7 +66,7 @@
 	It("lacks the entry of a target, and the target's agent writes it again", func() {
 		d := newOpaqueDeployment(2, 2)
 		backup := d.store.Copy()
-		d.addTarget("lines")
+		d.addTarget()
 		d.awaitReady()
 		last := d.agents[len(d.agents)-1]
 		restore(d, backup)
@@ -92,7 +92,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(link.Close)
 		d.storeAddress = link.Address
-		d.addTarget("lines")
+		d.addTarget()
 		d.awaitReady()
 		target := d.targets[1]
 		c := openFlowAt(d, target)
--- a/integration/opaque_test.go
+++ b/integration/opaque_test.go
@@ -90,7 +90,7 @@
 		expectOpen(c)
 		first := targetServing(c, "before")
 		for range 6 {
-			d.addTarget("lines")
+			d.addTarget()
 		}
 		d.awaitReady()
 		for i := range 5 {
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -62,7 +62,7 @@
 		s.relays = append(s.relays, relay)
 	}
 	for range *soakTargets {
-		s.addTarget("lines")
+		s.addTarget()
 	}
 	s.currentTargets = append(s.currentTargets, s.targets...)
 	s.awaitReady()
