--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -70,6 +70,8 @@
 	{Balancer, "opaque_walk", Histogram, "", "candidates", "Candidates that had declined a packet when it was returned to the balancer."},
 	{Balancer, "store_calls", Counter, "call, outcome", "calls", "Calls to the platform's store: read, list, follow, replace; ok or failed."},
 	{Balancer, "store_latency", Histogram, "call, outcome", "seconds", "Duration of calls to the store; follow waits for changes for up to 2.5 s."},
+	{Balancer, "store_era", Gauge, "", "era", "Era of the platform's store: it rises each time the store is restored from a copy."},
+	{Balancer, "opaque_unsettled", Gauge, "", "0 or 1", "1 while the restored store may lack entries of targets, so that no flow is reset for want of a target."},
 	{Balancer, "log_lines_dropped", Counter, "", "lines", "Log lines dropped, since the reader of the log was too slow or the log could not be written."},
 	{Agent, "opaque_packets", Counter, "verdict", "packets", "Packets of opaque flows by the decision: deliver, pass_on, give_back, answer, drop, wait."},
 	{Agent, "opaque_malformed", Counter, "", "datagrams", "Datagrams that are neither a packet of the platform nor a frame."},
@@ -79,6 +81,7 @@
 	{Agent, "opaque_opening_wait", Histogram, "", "seconds", "Time that opening packets waited for room at the target."},
 	{Agent, "store_calls", Counter, "call, outcome", "calls", "Calls to the platform's store: read, replace; ok or failed."},
 	{Agent, "store_latency", Histogram, "call, outcome", "seconds", "Duration of calls to the store."},
+	{Agent, "store_era", Gauge, "", "era", "Era of the platform's store in the last answer that the agent got; it calls the store rarely."},
 	{Agent, "log_lines_dropped", Counter, "", "lines", "Log lines dropped, since the reader of the log was too slow or the log could not be written."},
 	{Agent, "cut_requests", Counter, "", "requests", "Requests cut off by a forced shutdown."},
 }
--- a/internal/metrics/store.go
+++ b/internal/metrics/store.go
@@ -25,3 +25,9 @@
 		tagged.Histogram("store_latency", storeLatencyBuckets).RecordDuration(duration)
 	}
 }
+
+// StoreEra returns a function that records the era of the store: it rises each time the store is restored from a copy.
+func StoreEra(scope tally.Scope) func(era uint64) {
+	gauge := scope.Gauge("store_era")
+	return func(era uint64) { gauge.Update(float64(era)) }
+}
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -21,6 +21,7 @@
 	malformed, sendFailed     tally.Counter
 	located, pendingDropped   tally.Counter
 	configuration, storeAge   tally.Gauge
+	unsettled                 tally.Gauge
 	targets                   [directory.Gone + 1]tally.Gauge
 	candidatesTried           tally.Histogram
 }
@@ -39,6 +40,7 @@
 		sendFailed: scope.Counter("opaque_send_failed"),
 		located:    scope.Counter("opaque_located"), pendingDropped: scope.Counter("opaque_held_dropped"),
 		configuration: scope.Gauge("opaque_configuration"), storeAge: scope.Gauge("opaque_store_age"),
+		unsettled:       scope.Gauge("opaque_unsettled"),
 		candidatesTried: scope.Histogram("opaque_walk", candidatesTriedBuckets),
 	}
 	for state := range c.targets {
@@ -66,8 +68,13 @@
 	for _, t := range f.directory.Targets() {
 		states[t.State]++
 	}
-	answeredAt := f.storeAnsweredAt
+	answeredAt, isSettled := f.storeAnsweredAt, f.settlement.IsSettled()
 	f.mu.Unlock()
+	if isSettled {
+		f.counters.unsettled.Update(0)
+	} else {
+		f.counters.unsettled.Update(1)
+	}
 	for state, count := range states {
 		f.counters.targets[state].Update(count)
 	}
--- a/internal/store/observer.go
+++ b/internal/store/observer.go
@@ -20,12 +20,14 @@
 
 // NewObserver returns an observer that counts the calls in scope and logs restorations of the store.
 func NewObserver(scope tally.Scope, log *events.Logger) Observer {
+	recordEra := metrics.StoreEra(scope)
 	var mu sync.Mutex
 	var latest uint64
 	return Observer{Called: metrics.StoreCalls(scope), Answered: func(era uint64) {
 		mu.Lock()
 		previous := latest
 		latest = max(latest, era)
+		recordEra(latest)
 		mu.Unlock()
 		if previous > 0 && era > previous {
 			log.Emit(events.StoreRestored, events.F("previous", previous), events.F("era", era))
