Every ping contains the version of the balancer's view

Cause: agents notice a restored store by the version in pings, but only pings to hubs contained it. All other agents noticed by their own checks: in the trace, the agent of the flows' target 12 s after the restoration. The specs passed, since they have at most three agents, which are all hubs.

Ruled out: the agent's store calls (none failed), a lost ping (hubs noticed within 0.8 s, no other agent did).

Change: pings to other agents contain the version as well. Their size is the same, the field was zero.

--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -211,7 +211,7 @@
 }
 
 // tick updates this balancer's role and sends the pings that are due. A ping to a hub carries the full status of this balancer,
-// any other ping only the version of its configuration.
+// any other ping only the versions of its configuration and of its view, by which an agent notices a restored store.
 func (f *Forwarder) tick(now time.Time) {
 	f.updateRole(now)
 	f.mu.Lock()
@@ -226,7 +226,7 @@
 	for _, ping := range pings {
 		status := hubStatus
 		if !ping.IsToHub {
-			status = hop.BalancerStatus{Configuration: hubStatus.Configuration}
+			status = hop.BalancerStatus{Configuration: hubStatus.Configuration, Revision: hubStatus.Revision}
 		}
 		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
 		f.sendToAgent(ping.Agent, h.Append(status.Append(buffer[:0])))
