An era is not settled while another balancer knows of a lost entry

Cause: a balancer marked targets as missing only when it listed the restored store itself. An entry that the copy holds in an older form, as of the former owner of an address, was not marked either.

Change: targets in a handover carry the mark; it is also set when the store of a later era returns an older entry than the known one.

Evidence: TestLossThatAnotherBalancerHasFoundCounts, TestOlderEntryOfRestoredStoreIsIgnored (its new line fails before).

--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -19,8 +19,8 @@
 	Entry    registry.Entry
 	Revision store.Version
 	State    Reachability
-	// IsMissing is set while the restored store lacks the target's entry, which is of an earlier era.
-	IsMissing bool
+	// IsLost is set while the restored store lacks the target's entry, which is of an earlier era, or holds an older one.
+	IsLost bool
 	// EntryReceivedAt is when the balancer received the entry. AnsweredAt is when the agent last answered a ping, or zero.
 	EntryReceivedAt, AnsweredAt time.Time
 
@@ -80,10 +80,17 @@
 	return all
 }
 
-// HasReachableMissing reports whether the restored store lacks the entry of a target whose agent answers pings.
-func (d *Directory) HasReachableMissing() bool {
+// MarkLost records that, as another balancer has found, the restored store has lost the entry of a target at a revision.
+func (d *Directory) MarkLost(agent hop.IP, revision store.Version) {
+	if t := d.targets[agent]; t != nil && t.Revision == revision {
+		t.IsLost = true
+	}
+}
+
+// HasReachableLost reports whether the restored store has lost the entry of a target whose agent answers pings.
+func (d *Directory) HasReachableLost() bool {
 	for _, t := range d.targets {
-		if t.IsMissing && t.State == Reachable {
+		if t.IsLost && t.State == Reachable {
 			return true
 		}
 	}
@@ -114,6 +121,9 @@
 	revision := e.Version(returned)
 	known := d.targets[agent]
 	if known != nil && revision <= known.Revision || revision <= d.removalRevisions[agent] {
+		if known != nil && revision < known.Revision && known.Revision.Era() < returned.Era() {
+			known.IsLost = true
+		}
 		return Change{}, false
 	}
 	if e.HasLeft {
@@ -124,7 +134,7 @@
 		d.targets[agent] = known
 	}
 	known.Entry, known.Revision, known.service = e, revision, desired.ServiceKeyOf(e.Service)
-	known.EntryReceivedAt, known.IsMissing = now, false
+	known.EntryReceivedAt, known.IsLost = now, false
 	d.rebuildView()
 	return Change{Target: *known, Reason: "entry"}, true
 }
@@ -152,7 +162,7 @@
 			continue
 		}
 		if t.Revision.Era() < revision.Era() {
-			t.IsMissing = true
+			t.IsLost = true
 			continue
 		}
 		if change, ok := d.HandleRemoval(agent, revision); ok {
--- a/internal/opaque/directory/restored_test.go
+++ b/internal/opaque/directory/restored_test.go
@@ -33,8 +33,10 @@
 	d.HandleEntry(start, agent(2), entryIn(1, "pedidos"), versionIn(1, 30))
 	g.Expect(d.Retain(map[hop.IP]struct{}{agent(1): {}}, versionIn(2, 10))).To(BeEmpty())
 	g.Expect(hasTarget(d, agent(2))).To(BeTrue())
+	g.Expect(d.HasReachableLost()).To(BeTrue())
 	_, hasChanged := d.HandleEntry(start, agent(2), entryIn(2, "pedidos"), versionIn(2, 12))
 	g.Expect(hasChanged).To(BeTrue(), "the agent has written it again")
+	g.Expect(d.HasReachableLost()).To(BeFalse())
 	g.Expect(d.Retain(nil, versionIn(2, 11))).To(BeEmpty(), "the entries are of an earlier era, or newer than the list")
 	g.Expect(d.Retain(nil, versionIn(2, 13))).To(HaveLen(1), "the entry was deleted in this era")
 }
@@ -53,6 +55,7 @@
 		g.Expect(hasChanged).To(BeFalse())
 	}
 	g.Expect(hasTarget(d, agent(1))).To(BeFalse())
+	g.Expect(d.HasReachableLost()).To(BeTrue(), "balancers that start now know the former owner of the address only")
 	reused, _ := d.Lookup(agent(2))
 	g.Expect(reused.Entry.Service).To(Equal("mensajes-voz"))
 }
@@ -73,3 +76,15 @@
 	}
 	g.Expect(order).To(Equal([]hop.IP{agent(1), agent(2), agent(3)}))
 }
+
+// Guards against resets of open flows: a balancer that had the state of another one, and did not list the restored store
+// itself, believed that it had lost nothing, and settled its era.
+func TestLossThatAnotherBalancerHasFoundCounts(t *testing.T) {
+	g := NewWithT(t)
+	d := directory.New(self, "quito")
+	d.HandleEntry(start, agent(1), entryIn(1, "pedidos"), versionIn(1, 30))
+	d.MarkLost(agent(1), versionIn(1, 29))
+	g.Expect(d.HasReachableLost()).To(BeFalse(), "an earlier entry was lost")
+	d.MarkLost(agent(1), versionIn(1, 30))
+	g.Expect(d.HasReachableLost()).To(BeTrue())
+}
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -149,6 +149,22 @@
 	for _, removed := range state.Removed {
 		f.removeEntry(storeItem(removed))
 	}
+	f.markLost(state.Targets)
+}
+
+// markLost records which targets another balancer has found to be lost by the restored store.
+func (f *Forwarder) markLost(targets []handover.Item) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range targets {
+		if !t.IsLost {
+			continue
+		}
+		if agent, err := registry.AgentOf(t.Key); err == nil {
+			// An invalid key has been logged when the entry was applied.
+			f.directory.MarkLost(agent, t.Revision)
+		}
+	}
 }
 
 // applyFetchedConfiguration unpacks and applies the configuration of another balancer.
@@ -197,7 +213,9 @@
 			f.logHandoverFailure(ipText(t.Agent), err)
 			continue
 		}
-		state.Targets = append(state.Targets, handover.Item{Key: registry.Key(t.Agent), Value: value, Revision: t.Revision})
+		state.Targets = append(state.Targets, handover.Item{
+			Key: registry.Key(t.Agent), Value: value, Revision: t.Revision, IsLost: t.IsLost,
+		})
 	}
 	if request.After > 0 {
 		f.directory.EachRemoved(request.After, func(agent hop.IP, revision store.Version) {
--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -213,11 +213,11 @@
 }
 
 // recordSettledEra writes the store's era to the store once it is settled, unless another balancer has done so. While an agent
-// that answers pings has not written its entry again, the era is not settled. A failed write is repeated after a later call.
+// that answers pings has not written its lost entry again, the era is not settled. A failed write is repeated after a later call.
 func (w *watcher) recordSettledEra(ctx context.Context) {
 	w.mu.Lock()
 	var item store.Item
-	isDue := !w.directory.HasReachableMissing()
+	isDue := !w.directory.HasReachableLost()
 	if isDue {
 		item, isDue = w.settlement.NextRecord(time.Now())
 	}
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -58,6 +58,8 @@
 	Key      string        `msgpack:"key"`
 	Value    []byte        `msgpack:"value"`
 	Revision store.Version `msgpack:"version"`
+	// IsLost is set if the restored store no longer holds this version of a target's entry.
+	IsLost bool `msgpack:"lost,omitempty"`
 }
 
 // IsSufficientFor reports whether a balancer that sent the request r can forward packets once it has applied the state. It then
