Agents of targets without flows check their entries rarely, and read no era of a store that was never restored

Change: without flows an agent's first check is due after 32 s instead of 4. A missed entry then costs new flows only, and an entry that was written long before a restoration is in the copy. The key of settled eras is read only if the store has an era above the first.

--- a/internal/opaque/registry/restored_test.go
+++ b/internal/opaque/registry/restored_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -97,29 +98,49 @@
 func TestEntryIsCheckedLessAndLessOftenWhileNoBalancerReports(t *testing.T) {
 	g := NewWithT(t)
 	w, e := newWriter(t)
-	now, reads := start, 0
-	var last time.Duration
-	for range 10 {
-		next, wait := w.Next(now)
-		g.Expect(next).To(Equal(registry.Idle))
-		g.Expect(wait).To(BeNumerically(">=", last))
-		last, now = wait, now.Add(wait)
-		next, _ = w.Next(now)
-		g.Expect(next).To(Equal(registry.Read))
-		reads++
+	w.SetHasFlows(true)
+	now := start
+	var intervals []time.Duration
+	for range 7 {
+		due := dueCheck(g, w, now)
+		intervals, now = append(intervals, due.Sub(now)), due
 		w.RecordCall(now)
 		handleRead(t, w, e, versionIn(1, 30))
 	}
-	g.Expect(last).To(BeNumerically("<=", 3*time.Minute))
+	g.Expect(slices.IsSorted(intervals)).To(BeTrue())
+	g.Expect(intervals[0]).To(BeNumerically("<", 5*time.Second))
+	g.Expect(intervals[6]).To(BeNumerically("<=", 3*time.Minute))
 	w.HandleReport(now, 1, 0)
-	_, wait := w.Next(now)
-	g.Expect(wait).To(BeNumerically("<", 10*time.Second))
-	w.HandleFailedRead(now.Add(wait))
+	due := dueCheck(g, w, now)
+	g.Expect(due.Sub(now)).To(Equal(intervals[0]))
+	w.HandleFailedRead(due)
 	g.Expect(w.IsUpToDate()).To(BeTrue(), "a failed check changes nothing")
-	next, _ := w.Next(now.Add(wait))
+	next, _ := w.Next(due)
 	g.Expect(next).To(Equal(registry.Idle))
 }
 
+// dueCheck returns the time at which the entry is read again.
+func dueCheck(g *WithT, w *registry.Writer, now time.Time) time.Time {
+	for range 1000 {
+		next, wait := w.Next(now)
+		if next == registry.Read {
+			return now
+		}
+		g.Expect(wait).To(BeNumerically(">", 0))
+		now = now.Add(wait)
+	}
+	g.Expect(true).To(BeFalse(), "the entry is never read again")
+	return now
+}
+
+func TestTargetWithoutFlowsIsCheckedRarely(t *testing.T) {
+	g := NewWithT(t)
+	w, _ := newWriter(t)
+	idle := dueCheck(g, w, start)
+	w.SetHasFlows(true)
+	g.Expect(idle.Sub(start)).To(BeNumerically(">=", 5*dueCheck(g, w, start).Sub(start)))
+}
+
 func TestReportsOfBalancersThatLagBehindAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	w, _ := newWriter(t)
@@ -127,9 +148,7 @@
 	g.Expect(w.HandleRead(nil, versionIn(2, 0))).To(Succeed())
 	e, _ := w.NextWrite()
 	w.HandleWritten(e, versionIn(2, 17))
-	before, wait := w.Next(start)
-	g.Expect(before).To(Equal(registry.Idle))
+	due := dueCheck(g, w, start)
 	g.Expect(w.HandleReport(start.Add(time.Second), 1, 0)).To(BeFalse())
-	_, after := w.Next(start.Add(time.Second))
-	g.Expect(after).To(Equal(wait-time.Second), "a balancer of an earlier era does not confirm the entry")
+	g.Expect(dueCheck(g, w, start)).To(Equal(due), "a balancer of an earlier era does not confirm the entry")
 }
--- a/internal/opaque/registry/settlement.go
+++ b/internal/opaque/registry/settlement.go
@@ -115,11 +115,14 @@
 	return store.Item{Key: EraKey, Value: strconv.AppendUint(nil, s.observed, 10), Version: s.recorded}, true
 }
 
-// MayLackEntries reports whether a store may have lost an entry that it does not hold. item is the item of EraKey, whose revision
-// is zero if it does not exist.
+// IsNeverRestored reports whether a store that returned a version has never been restored, so that it has lost nothing.
+func IsNeverRestored(returned store.Version) bool { return returned.Era() <= firstEra }
+
+// MayLackEntries reports whether a restored store may have lost an entry that it does not hold. item is the item of EraKey, whose
+// revision is zero if it does not exist.
 func MayLackEntries(item store.Item) (bool, error) {
 	if item.Version.Revision() == 0 {
-		return item.Version.Era() > firstEra, nil
+		return true, nil
 	}
 	settled, err := decodeEra(item)
 	return settled < item.Version.Era(), err
--- a/internal/opaque/registry/settlement_test.go
+++ b/internal/opaque/registry/settlement_test.go
@@ -110,10 +110,9 @@
 		item    store.Item
 		mayLack bool
 	}{
-		"never restored, not settled yet": {eraItem("", versionIn(1, 0)), false},
-		"restored, none settled":          {eraItem("", versionIn(2, 0)), true},
-		"restored, earlier one settled":   {eraItem("1", versionIn(2, 3)), true},
-		"settled":                         {eraItem("2", versionIn(2, 30)), false},
+		"none settled":    {eraItem("", versionIn(2, 0)), true},
+		"earlier settled": {eraItem("1", versionIn(2, 3)), true},
+		"settled":         {eraItem("2", versionIn(2, 30)), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			mayLack, err := registry.MayLackEntries(test.item)
@@ -121,4 +120,6 @@
 			NewWithT(t).Expect(mayLack).To(Equal(test.mayLack))
 		})
 	}
+	NewWithT(t).Expect(registry.IsNeverRestored(versionIn(1, 0))).To(BeTrue())
+	NewWithT(t).Expect(registry.IsNeverRestored(versionIn(2, 0))).To(BeFalse())
 }
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -25,11 +25,13 @@
 )
 
 const (
-	// checkInterval is the time without a report of a balancer after which the stored entry is read again: balancers that do not
-	// know the target report nothing, so the store may have lost the entry. The time doubles with each check, at most
-	// maxCheckDoublings times, since the balancers do not report to targets that are not in use either.
+	// checkInterval is the time without a report of a balancer after which the entry of a target with flows is read again:
+	// balancers that do not know the target report nothing, so the store may have lost the entry. The time doubles with each
+	// check, at most maxCheckDoublings times, since the balancers do not report to targets that get no packets either.
 	checkInterval     = 4 * time.Second
 	maxCheckDoublings = 4
+	// idleCheckFactor is the factor on that time for a target without flows. Only new flows miss it.
+	idleCheckFactor = 8
 	// MaxCheckDelay bounds the delay of a check after a restoration of the store. It spreads the reads of a fleet.
 	MaxCheckDelay = 2 * time.Second
 )
@@ -64,6 +66,8 @@
 	reportedEra uint64
 	confirmedAt time.Time
 	checks      int
+	// hasFlows is set while the target has open flows.
+	hasFlows bool
 }
 
 // SetDesired sets the entry that the store has to hold.
@@ -74,6 +78,9 @@
 	w.desired = e
 }
 
+// SetHasFlows sets whether the target has open flows. Then its entry is checked more often.
+func (w *Writer) SetHasFlows(hasFlows bool) { w.hasFlows = hasFlows }
+
 // IsUpToDate reports whether the store is known to hold the desired entry, or none is desired yet.
 func (w *Writer) IsUpToDate() bool {
 	return w.desired == Entry{} || w.isStoredKnown() && !w.isOutdated && w.stored.matches(w.desired)
@@ -93,16 +100,21 @@
 	}
 }
 
-// nextCheck returns the next call while the entry is up to date.
+// nextCheck returns the next call while the entry is up to date. It is called again after checkInterval at the latest, since
+// flows may have opened meanwhile.
 func (w *Writer) nextCheck(now time.Time) (Step, time.Duration) {
 	if w.confirmedAt.IsZero() || w.desired == (Entry{}) {
 		return Idle, 0
 	}
-	wait := w.confirmedAt.Add(checkInterval << w.checks).Sub(now)
+	interval := checkInterval << w.checks
+	if !w.hasFlows {
+		interval *= idleCheckFactor
+	}
+	wait := w.confirmedAt.Add(interval).Sub(now)
 	if wait <= 0 {
 		return Read, 0
 	}
-	return Idle, wait
+	return Idle, min(wait, checkInterval)
 }
 
 // NextWrite returns the entry to write and the revision that it replaces. A target that has joined already keeps the version at
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -157,6 +157,7 @@
 // stepEntry makes the next store call for the entry, or waits until one is due.
 func (s *Sidecar) stepEntry(ctx context.Context) {
 	s.mu.Lock()
+	s.writer.SetHasFlows(s.gate.FlowCount() > 0)
 	step, wait := s.writer.Next(time.Now())
 	if step == registry.Write {
 		s.updateJoining()
@@ -195,7 +196,7 @@
 func (s *Sidecar) readEntry(ctx context.Context) {
 	item, err := s.deps.Store.Read(ctx, registry.Key(s.self))
 	if eris.Is(err, store.ErrNotFound) && !s.hadEntry() {
-		s.checkNeverWritten(ctx)
+		s.checkNeverWritten(ctx, item.Version)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -216,18 +217,29 @@
 }
 
 // checkNeverWritten records whether an entry that the store does not hold has never been written: the store cannot have lost it.
-func (s *Sidecar) checkNeverWritten(ctx context.Context) {
+// returned is the version with which the store answered.
+func (s *Sidecar) checkNeverWritten(ctx context.Context, returned store.Version) {
+	isNeverWritten := registry.IsNeverRestored(returned)
+	if !isNeverWritten {
+		isNeverWritten = !s.readMayLackEntries(ctx)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isNeverWritten = isNeverWritten
+}
+
+// readMayLackEntries reports whether the store may have lost entries. When that is not known, it reports true.
+func (s *Sidecar) readMayLackEntries(ctx context.Context) bool {
 	item, err := s.deps.Store.Read(ctx, registry.EraKey)
 	mayLackEntries := true
 	if err == nil || eris.Is(err, store.ErrNotFound) {
 		mayLackEntries, err = registry.MayLackEntries(item)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isNeverWritten = !mayLackEntries
 	if err != nil {
 		s.deps.Log.Emit(events.StoreUnavailable, events.F("step", "read era"), events.F("peer", "store"), events.Err(err))
+		return true
 	}
+	return mayLackEntries
 }
 
 // handleStoredEntry records the entry that the store holds. The caller holds mu.
