--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -56,10 +56,6 @@
 		"instance", "flows", "heartbeat_ms")
 	EntryWritten = define(315, logrus.InfoLevel, "entry written",
 		"The target's entry was written to the store.", "revision", "era", "draining", "left", "complete")
-
-	EraSettled = define(417, logrus.InfoLevel, "era settled",
-		"All agents had time to write entries again that the restored store had lost. Until now, no flow was reset because no known "+
-			"target holds it.", "era", "targets")
 	EntryLost = define(317, logrus.WarnLevel, "entry lost",
 		"The store was restored from a copy and lacks the target's entry, or holds an older one at this revision. The agent writes "+
 			"the entry again.", "revision", "era")
@@ -79,6 +75,10 @@
 			"version that this balancer had, and received the revision of the one that was sent; 0 means none.",
 		"peer", "after", "revision", "era", "snapshot", "targets", "configuration", "received")
 
+	EraSettled = define(417, logrus.InfoLevel, "era settled",
+		"All agents had time to write entries again that the restored store had lost. Until now, no flow was reset because no known "+
+			"target holds it.", "era", "targets")
+
 	StoreReaderChanged = define(414, logrus.InfoLevel, "reader changed",
 		"The balancer starts or stops watching the store. While it does not, other balancers of its group send it the changes.",
 		"reading", "revision", "era")
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -16,7 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/semaphore"
@@ -145,18 +144,13 @@
 		steer: steer.New(self), directory: directory.New(self, settings.Zone),
 		initialized: make(chan struct{}), pendingPackets: ring.New[pendingPacket](maxPendingPackets),
 		catchUpSources: ring.New[catchUpSource](1), readers: readers.NewSelector(self), roleChanged: make(chan struct{}, 1),
-		settlement: registry.NewSettlement(settleDelay(self)),
+		settlement: registry.NewSettlement(registry.SpreadDelay(self, registry.MaxSettleDelay)),
 	}
 	f.lastChange.read, f.lastChange.clock, f.lastChange.minInterval = f.readLastChange, bootTime, minReadInterval
 	f.servedRequests, f.revisionReplies = semaphore.NewWeighted(maxServedRequests), ring.New[revisionReply](1)
 	return f
 }
 
-// settleDelay returns a delay up to registry.MaxSettleDelay, which is derived from the balancer's address.
-func settleDelay(self hop.IP) time.Duration {
-	return time.Duration(xxhash.Sum64(self[:]) % uint64(registry.MaxSettleDelay))
-}
-
 // Run forwards packets until stopping is canceled, and for the linger time after that. It returns the error that ended it
 // early.
 func (f *Forwarder) Run(stopping context.Context) error {
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -114,6 +115,11 @@
 // their reads reads the store at most four times a second. The cost is that a joining target starts to serve that much later.
 const JoinDelay = 250 * time.Millisecond
 
+// SpreadDelay returns a delay below limit that is derived from the address of a process, so that the calls of a fleet spread.
+func SpreadDelay(self hop.IP, limit time.Duration) time.Duration {
+	return time.Duration(xxhash.Sum64(self[:]) % uint64(limit))
+}
+
 // maxSlots bounds the slots in an entry. It is far above those of any target, and keeps a corrupt entry from attracting the
 // traffic of the others.
 const maxSlots = 1 << 16
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
@@ -106,16 +105,12 @@
 	self := hop.IP(settings.Data.Addr().As4())
 	return &Sidecar{
 		settings: settings, deps: deps, self: self, startedAt: time.Now(), counters: newCounters(deps.Scope),
-		entryChanged: make(chan struct{}, 1), checkDelay: checkDelay(self), hub: readers.NewHub(),
+		entryChanged: make(chan struct{}, 1), checkDelay: registry.SpreadDelay(self, registry.MaxCheckDelay),
+		hub:  readers.NewHub(),
 		gate: gate.New[[]byte](resident.New(time.Now(), self, settings.Service, settings.FlowLifetime)),
 	}
 }
 
-// checkDelay returns a delay up to registry.MaxCheckDelay, which is derived from the agent's address.
-func checkDelay(self hop.IP) time.Duration {
-	return time.Duration(xxhash.Sum64(self[:]) % uint64(registry.MaxCheckDelay))
-}
-
 // Run serves until stopping is canceled, and after that until the agent may shut down or the grace time is nearly over. A
 // draining target, for example, first finishes its flows (see resident.Machine.CanStop). Any other target continues, and the
 // next agent process takes over. Run returns the error that ended it early.
