Freshness of the view in one place; an entry that raced with a restoration proves nothing

Found when reading the change: the flow table of an agent counted as complete after a first write that the store executed after it was restored. The read before it had shown that no earlier process had written an entry, but in the earlier era.

--- a/internal/opaque/forwarder/revalidate.go
+++ b/internal/opaque/forwarder/revalidate.go
@@ -120,20 +120,17 @@
 	if isFresh, err := f.isViewFresh(); err != nil || isFresh {
 		return err
 	}
-	if err := f.checkSettled(); err != nil {
-		return err
+	if !f.isStoreSettled() {
+		return registry.ErrUnsettled
 	}
 	return f.refreshTargets(ctx)
 }
 
-// checkSettled returns registry.ErrUnsettled while the store may lack entries of targets.
-func (f *Forwarder) checkSettled() error {
+// isStoreSettled reports false while the restored store may lack entries of targets.
+func (f *Forwarder) isStoreSettled() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.settlement.IsSettled() {
-		return registry.ErrUnsettled
-	}
-	return nil
+	return f.settlement.IsSettled()
 }
 
 // refreshTargets makes the view include every target that a recent store read found, and extends its freshness from the start
@@ -144,31 +141,42 @@
 	if err != nil {
 		return err
 	}
-	if applied := f.revision(); applied > 0 && latest.value <= applied {
-		return f.extendFreshness(latest.startedAt)
+	readStartedAt := latest.startedAt
+	if applied := f.revision(); applied == 0 || latest.value > applied {
+		if readStartedAt, err = f.applyAllTargets(ctx); err != nil {
+			return err
+		}
+	}
+	if !f.extendFreshness(readStartedAt) {
+		return registry.ErrUnsettled
 	}
+	return nil
+}
+
+// applyAllTargets lists the targets and applies the list. It returns the time at which the read started.
+func (f *Forwarder) applyAllTargets(ctx context.Context) (time.Duration, error) {
 	startedAt, err := bootTime()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	items, at, err := f.listStore(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.applyTargetList(items, at)
-	return f.extendFreshness(startedAt)
+	return startedAt, nil
 }
 
-// extendFreshness records that the view includes the result of a store read that started at readStartedAt. It returns
-// registry.ErrUnsettled, and records nothing, while the store may lack entries of targets.
-func (f *Forwarder) extendFreshness(readStartedAt time.Duration) error {
-	if err := f.checkSettled(); err != nil {
-		return err
-	}
+// extendFreshness records that the view includes the result of a store read that started at readStartedAt. It records nothing,
+// and reports false, while the store may lack entries of targets.
+func (f *Forwarder) extendFreshness(readStartedAt time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.freshness.extend(readStartedAt)
-	return nil
+	isSettled := f.settlement.IsSettled()
+	if isSettled {
+		f.freshness.extend(readStartedAt)
+	}
+	return isSettled
 }
 
 // latestChange returns the revision of the last change of any target's entry, read from the store at most maxSharedReadAge ago.
--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -185,9 +185,7 @@
 		return 0, err
 	}
 	f.applySnapshot(items, at)
-	if err := f.extendFreshness(startedAt); err != nil && !eris.Is(err, registry.ErrUnsettled) {
-		return 0, err
-	}
+	f.extendFreshness(startedAt)
 	f.updateReadiness()
 	return at, nil
 }
--- a/internal/opaque/hop/status.go
+++ b/internal/opaque/hop/status.go
@@ -15,7 +15,7 @@
 	Group uint32
 	// IsWatching is set while the balancer watches the store and the store answers.
 	IsWatching bool
-	// Revision is the revision of the store up to which the balancer has applied all changes.
+	// Revision is the store.Version up to which the balancer has applied all changes.
 	Revision uint64
 }
 
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -267,7 +267,7 @@
 	switch {
 	case err == nil:
 		s.handleStoreSuccess()
-		isCreated := s.isNeverWritten && !s.writer.HadEntry()
+		isCreated := s.isNeverWritten && !s.writer.HadEntry() && item.Version.Era() == entry.Era
 		s.writer.RecordCall(time.Now())
 		s.writer.HandleWritten(entry, item.Version)
 		s.updateJoining()
