A new deployment is settled at once, not when its first era has been recorded

Cause: a balancer that finds the store empty settled the era when its record was due, up to 3 s later, a delay that only spreads the writes. Until then no flow was reset for want of a target.

Ruled out: the load of the machine.

Change: such a balancer takes the era for settled at once and records it later; what the store holds and what is settled are two fields.

--- a/internal/opaque/registry/settlement.go
+++ b/internal/opaque/registry/settlement.go
@@ -37,11 +37,11 @@
 type Settlement struct {
 	// delay is the balancer's additional delay.
 	delay time.Duration
-	// observed is the highest era of any answer of the store, and settled the highest settled era. hasObserved is set once there
-	// was an answer.
-	observed, settled uint64
-	hasObserved       bool
-	// dueAt is when the observed era is settled.
+	// observed is the highest era of any answer of the store, settled the highest settled era, and recordedEra the highest one that
+	// some balancer has recorded or will record. hasObserved is set once there was an answer.
+	observed, settled, recordedEra uint64
+	hasObserved                    bool
+	// dueAt is when the observed era is settled and has to be recorded.
 	dueAt time.Time
 	// recorded is the version of EraKey.
 	recorded store.Version
@@ -64,7 +64,7 @@
 	isFirst := !s.hasObserved
 	s.Observe(now, at.Era())
 	if isFirst && len(items) == 0 {
-		s.dueAt = now.Add(s.delay)
+		s.settled, s.dueAt = at.Era(), now.Add(s.delay)
 	}
 	recorded := store.Item{Key: EraKey, Version: store.Version(0).InEra(at.Era())}
 	for _, item := range items {
@@ -88,8 +88,10 @@
 	return err
 }
 
-// HandleSettled records that an era is settled.
-func (s *Settlement) HandleSettled(era uint64) { s.settled = max(s.settled, era) }
+// HandleSettled records that an era is settled, as the store or another balancer says. It then need not be recorded again.
+func (s *Settlement) HandleSettled(era uint64) {
+	s.settled, s.recordedEra = max(s.settled, era), max(s.recordedEra, era)
+}
 
 // HandleOutage records that the store could not be called. Agents could not write their entries either, so an era that is not
 // settled takes as long again.
@@ -108,7 +110,7 @@
 // NextRecord returns the item of EraKey to write, and reports whether that is due. The version of the item is the one that it
 // replaces. The next attempt is due after a delay.
 func (s *Settlement) NextRecord(now time.Time) (store.Item, bool) {
-	if s.IsSettled() || now.Before(s.dueAt) {
+	if s.observed <= s.recordedEra || now.Before(s.dueAt) {
 		return store.Item{}, false
 	}
 	s.dueAt = now.Add(settleRetryDelay)
