Soak: restorations from older copies and from the empty store

Now the store is copied every second and restored from one of the last seven copies, or in one of four restorations from the first one, from before the first target.

--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -133,10 +133,10 @@
 // configurationKey is the key of the store that holds the configuration.
 const configurationKey = "op/config"
 
-// restoreStore restores the store from a copy. The store is away for a moment, and operators write the last configuration again.
-func (d *opaqueDeployment) restoreStore(backup standin.Copy) {
+// restoreStore restores the store from a copy after an outage. Operators write the last configuration again.
+func (d *opaqueDeployment) restoreStore(backup standin.Copy, outage time.Duration) {
 	d.store.SetFault("", standin.Reset)
-	time.Sleep(shortestFault)
+	time.Sleep(outage)
 	d.store.Restore(backup)
 	d.store.SetFault("", standin.NoFault)
 	d.store.Put(configurationKey, d.document)
--- a/integration/opaque_restored_test.go
+++ b/integration/opaque_restored_test.go
@@ -28,7 +28,7 @@
 	// restore restores the store, and waits until each balancer has noticed that.
 	restore := func(d *opaqueDeployment, backup standin.Copy) {
 		GinkgoHelper()
-		d.restoreStore(backup)
+		d.restoreStore(backup, shortestFault)
 		for _, p := range d.balancers {
 			Eventually(func() bool { return hasNoticed(p) }).WithTimeout(opaqueWaitLimit).Should(BeTrue(), p.ip.String())
 		}
@@ -42,7 +42,7 @@
 		d.configure(alternateRoutes)
 		d.configure(onlyRoute)
 		expectInForce(d)
-		d.restoreStore(backup)
+		d.restoreStore(backup, shortestFault)
 		Eventually(func() bool { return slices.ContainsFunc(d.balancers, hasNoticed) }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
 		d.configure(alternateRoutes)
 		expectInForce(d)
@@ -57,7 +57,7 @@
 		}
 		d.configure(alternateRoutes)
 		expectInForce(d)
-		d.restoreStore(backup)
+		d.restoreStore(backup, shortestFault)
 		d.configure(onlyRoute)
 		expectInForce(d)
 	})
--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -30,7 +30,7 @@
 func (s *soak) inject(f fault) {
 	switch {
 	case f.kind == storeRestored:
-		s.injectRestoration(f.duration)
+		s.injectRestoration(f)
 	case f.kind < crashTarget:
 		s.injectProcessFault(f)
 	case f.kind < storeBusy:
@@ -88,17 +88,26 @@
 	}
 }
 
-// injectRestoration restores the store from a copy. A change of the routes and whatever the agents have written since the copy
-// is lost.
-func (s *soak) injectRestoration(age time.Duration) {
-	backup := s.store.Copy()
+// injectRestoration restores the store from one of the last copies after an outage. Two changes of the routes and whatever the
+// agents have written since the copy are lost.
+func (s *soak) injectRestoration(f fault) {
+	s.mu.Lock()
+	backup := s.copies[max(len(s.copies)-1-f.victim, 0)]
+	s.mu.Unlock()
 	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines", soakSpareAddress: "lines"})
 	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
-	time.Sleep(age)
-	s.restoreStore(backup)
+	s.restoreStore(backup, f.duration)
 	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines", soakSpareAddress: "lines"})
 }
 
+// copyStore adds a copy of the store's content to those from which it is restored.
+func (s *soak) copyStore() {
+	backup := s.store.Copy()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies = append(s.copies, backup)
+}
+
 func (s *soak) injectNetworkFault(f fault) {
 	switch f.kind {
 	case changeRoutes:
--- a/integration/soak_schedule_test.go
+++ b/integration/soak_schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -49,7 +50,7 @@
 }
 
 // fault is a fault of a soak: its kind, its start counted from the start of the soak, its duration, and the index of the
-// balancer or agent that it affects.
+// balancer or agent that it affects, or, for a restoration, of the copy, counted from the last one.
 type fault struct {
 	kind         faultKind
 	at, duration time.Duration
@@ -67,8 +68,13 @@
 	// flows.
 	shortestFault = 100 * time.Millisecond
 	longestFault  = 1200 * time.Millisecond
-	// meanRestorationGap is the mean time between two restorations of the store.
-	meanRestorationGap = 5 * time.Second
+	// meanRestorationGap is the mean time between two restorations of the store. They are from the last copy or one up to
+	// maxCopyAge copies older.
+	meanRestorationGap = 4 * time.Second
+	copyInterval       = time.Second
+	maxCopyAge         = 7
+	// firstCopy selects the first copy, which is from before the first target. One restoration in four uses it.
+	firstCopy = math.MaxInt32
 	// victimRecoveryTime is the least time between two faults of the same process, in which it recovers.
 	victimRecoveryTime = time.Second
 )
@@ -141,9 +147,12 @@
 			break
 		}
 		f := fault{
-			kind: storeRestored, at: at,
+			kind: storeRestored, at: at, victim: random.IntN(maxCopyAge),
 			duration: shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault))),
 		}
+		if random.IntN(4) == 0 {
+			f.victim = firstCopy
+		}
 		faults = slices.DeleteFunc(faults, func(other fault) bool {
 			return other.affectsStoreOrRoutes() && other.at < f.at+f.duration+victimRecoveryTime &&
 				f.at < other.at+other.duration+victimRecoveryTime
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -46,6 +46,8 @@
 	sent, answered int
 	violations     []string
 	requests       []string
+	// copies are copies of the store's content, oldest first.
+	copies []standin.Copy
 	// stopped holds the processes that the soak has stopped itself and has not started again.
 	stopped map[*opaqueProcess]bool
 }
@@ -54,6 +56,7 @@
 	s := &soak{opaqueDeployment: emptyOpaqueDeployment(), stopped: map[*opaqueProcess]bool{}}
 	s.storeAddress = s.newStoreProxy
 	s.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
+	s.copyStore()
 	for i := range *soakBalancers {
 		b := s.addBalancer()
 		relay, err := standin.NewRelay(s.vmAddress(b.ip, opaquePortData), *soakSeed+uint64(i))
@@ -272,6 +275,16 @@
 				}
 			}
 		})
+		callers.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(copyInterval):
+					s.copyStore()
+				}
+			}
+		})
 		faults := drawSchedule(*soakSeed, *soakTime, *soakBalancers, *soakTargets)
 		s.injectFaults(addRestorations(faults, *soakSeed, *soakTime))
 		close(done)
