A restored store that is empty is not settled at once

Cause: a balancer that finds the store empty when it first reads it took the deployment for new. A balancer that starts right after a restoration from before the first entry finds it empty as well, while all targets serve.

Change: only a store that was never restored counts as new.

--- a/internal/opaque/registry/settlement.go
+++ b/internal/opaque/registry/settlement.go
@@ -58,12 +58,12 @@
 	s.observed, s.hasObserved, s.dueAt = era, true, now.Add(SettleTime+s.delay)
 }
 
-// HandleList records the complete content of the store below KeyPrefix. A store that is empty when the balancer first reads it
-// has lost nothing: the deployment is new.
+// HandleList records the complete content of the store below KeyPrefix. A store that was never restored, and is empty when the
+// balancer first reads it, has lost nothing: the deployment is new.
 func (s *Settlement) HandleList(now time.Time, items []store.Item, at store.Version) error {
 	isFirst := !s.hasObserved
 	s.Observe(now, at.Era())
-	if isFirst && len(items) == 0 {
+	if isFirst && len(items) == 0 && IsNeverRestored(at) {
 		s.settled, s.dueAt = at.Era(), now.Add(s.delay)
 	}
 	recorded := store.Item{Key: EraKey, Version: store.Version(0).InEra(at.Era())}
--- a/internal/opaque/registry/settlement_test.go
+++ b/internal/opaque/registry/settlement_test.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// Guards against resets of open flows by a balancer that starts on a store that was restored from before the first entry.
+func TestEmptyStoreThatWasRestoredIsNotSettledAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := registry.NewSettlement(settleDelay)
+	list(t, s, start, versionIn(2, 2))
+	g.Expect(s.IsSettled()).To(BeFalse())
+	_, isDue := s.NextRecord(start.Add(registry.SettleTime))
+	g.Expect(isDue).To(BeFalse())
+}
+
 func TestNewDeploymentIsSettledAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	s := registry.NewSettlement(settleDelay)
