One list of the store with its start; lost entries are searched for only when an era is to be recorded

The list of the store was preceded by the same reading of the boot clock in two places; listStore returns that time now. And after every watch call a reader went through all targets for lost entries, once a second, although an era is to be recorded once: Settlement.IsRecordDue is asked first. No behaviour changes.

--- a/internal/opaque/forwarder/revalidate.go
+++ b/internal/opaque/forwarder/revalidate.go
@@ -143,9 +143,12 @@
 	}
 	readStartedAt := latest.startedAt
 	if applied := f.revision(); applied == 0 || latest.value > applied {
-		if readStartedAt, err = f.applyAllTargets(ctx); err != nil {
+		items, at, startedAt, err := f.listStore(ctx)
+		if err != nil {
 			return err
 		}
+		f.applyTargetList(items, at)
+		readStartedAt = startedAt
 	}
 	if !f.extendFreshness(readStartedAt) {
 		return registry.ErrUnsettled
@@ -153,20 +156,6 @@
 	return nil
 }
 
-// applyAllTargets lists the targets and applies the list. It returns the time at which the read started.
-func (f *Forwarder) applyAllTargets(ctx context.Context) (time.Duration, error) {
-	startedAt, err := bootTime()
-	if err != nil {
-		return 0, err
-	}
-	items, at, err := f.listStore(ctx)
-	if err != nil {
-		return 0, err
-	}
-	f.applyTargetList(items, at)
-	return startedAt, nil
-}
-
 // extendFreshness records that the view includes the result of a store read that started at readStartedAt. It records nothing,
 // and reports false, while the store may lack entries of targets.
 func (f *Forwarder) extendFreshness(readStartedAt time.Duration) bool {
--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -169,11 +169,7 @@
 // readSnapshot reads all targets and the configuration, and returns the revision of the list of targets. The configuration is
 // read last, so that watching from that revision misses no change of it.
 func (f *Forwarder) readSnapshot(ctx context.Context) (store.Version, error) {
-	startedAt, err := bootTime()
-	if err != nil {
-		return 0, err
-	}
-	items, at, err := f.listStore(ctx)
+	items, at, startedAt, err := f.listStore(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -190,17 +186,22 @@
 	return at, nil
 }
 
-// listStore lists everything that gentianswitch has written to the store.
-func (f *Forwarder) listStore(ctx context.Context) ([]store.Item, store.Version, error) {
+// listStore lists everything that gentianswitch has written to the store. It also returns the time at which the read started, as
+// time since the VM booted.
+func (f *Forwarder) listStore(ctx context.Context) ([]store.Item, store.Version, time.Duration, error) {
+	startedAt, err := bootTime()
+	if err != nil {
+		return nil, 0, 0, err
+	}
 	items, at, err := f.deps.Store.List(ctx, registry.KeyPrefix)
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	f.mu.Lock()
 	errEra := f.settlement.HandleList(time.Now(), items, at)
 	f.mu.Unlock()
 	f.logRefusedEra(errEra)
-	return items, at, nil
+	return items, at, startedAt, nil
 }
 
 // logRefusedEra logs that the item of registry.EraKey cannot be decoded. Its era then does not count as settled.
@@ -213,11 +214,12 @@
 // recordSettledEra writes the store's era to the store once it is settled, unless another balancer has done so. While an agent
 // that answers pings has not written its lost entry again, the era is not settled. A failed write is repeated after a later call.
 func (w *watcher) recordSettledEra(ctx context.Context) {
+	now := time.Now()
 	w.mu.Lock()
 	var item store.Item
-	isDue := !w.directory.HasReachableLost()
+	isDue := w.settlement.IsRecordDue(now) && !w.directory.HasReachableLost()
 	if isDue {
-		item, isDue = w.settlement.NextRecord(time.Now())
+		item, isDue = w.settlement.NextRecord(now)
 	}
 	w.mu.Unlock()
 	if !isDue {
--- a/internal/opaque/registry/settlement.go
+++ b/internal/opaque/registry/settlement.go
@@ -107,10 +107,15 @@
 // IsSettled reports whether the latest known era of the store is settled.
 func (s *Settlement) IsSettled() bool { return s.observed <= s.settled }
 
+// IsRecordDue reports whether the observed era has to be recorded now.
+func (s *Settlement) IsRecordDue(now time.Time) bool {
+	return s.observed > s.recordedEra && !now.Before(s.dueAt)
+}
+
 // NextRecord returns the item of EraKey to write, and reports whether that is due. The version of the item is the one that it
 // replaces. The next attempt is due after a delay.
 func (s *Settlement) NextRecord(now time.Time) (store.Item, bool) {
-	if s.observed <= s.recordedEra || now.Before(s.dueAt) {
+	if !s.IsRecordDue(now) {
 		return store.Item{}, false
 	}
 	s.dueAt = now.Add(settleRetryDelay)
