--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Case 1: configurations of the largest size in quick succession.
+// Case 1: a write that gets no answer and is done late, while the target that it reports as gone is back.
 package main
 
 import (
@@ -13,109 +13,112 @@
 )
 
 const (
-	// documentBytes is below the value_bytes of the store, 1,048,576.
-	documentBytes = 800_000
-	// The storm is that of the day scale-2 of the site: gap_s = 0.19, for_s = 3.06.
-	changes = 16
-	gap     = 190 * time.Millisecond
+	crashFor     = 3150 * time.Millisecond
+	lossAfter    = 2200 * time.Millisecond
+	lossFor      = time.Second
+	writeDelay   = 5500 * time.Millisecond
+	flowsToOpen  = 5
+	requestEvery = 400 * time.Millisecond
+	watchFor     = 16 * time.Second
 )
 
-var (
-	lines   = netip.MustParseAddrPort("127.200.0.1:8080")
-	newest  = netip.MustParseAddrPort("127.200.0.1:9000")
-	dropped = netip.MustParseAddrPort("127.200.0.1:9001")
-)
+var feed = netip.MustParseAddrPort("127.200.0.1:8443")
 
-// largeConfiguration returns the named routes and as many idle ones as fit into documentBytes.
-func largeConfiguration(named ...harness.Route) []harness.Route {
-	routes := named
-	for n := 0; ; n++ {
-		r := harness.Route{
-			Name: fmt.Sprintf("idle-%06d", n), Service: "pedidos", Type: "safe", Priority: 2,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 201, byte(n >> 8), byte(n)}), 8443),
-		}
-		if n%200 == 0 && len(harness.Document(1_000_000, append(routes, r))) > documentBytes-200*190 {
-			return routes
-		}
-		routes = append(routes, r)
-	}
-}
-
-func route(name string, address netip.AddrPort) harness.Route {
-	return harness.Route{Name: name, Address: address, Service: "pedidos", Type: "unsafe", Priority: 1}
+type client struct {
+	name   string
+	caller *standin.Caller
 }
 
 func main() {
 	c := harness.New()
-	before := largeConfiguration(route("lines", lines), route("dropped", dropped))
-	after := largeConfiguration(route("lines", lines), route("newest", newest))
-	c.Log("a configuration has %d routes and %d bytes", len(before), len(harness.Document(1_000_000, before)))
-	c.Configure(before)
-	var balancers []*harness.Machine
+	c.Configure([]harness.Route{{Name: "feed", Address: feed, Service: "pedidos", Type: "safe", Priority: 2}})
+	late := c.NewLateStore()
+	var balancers, agents []*harness.Machine
 	for n := range 3 {
 		balancers = append(balancers, c.AddBalancer(fmt.Sprintf("zone-%d", n+1)))
 	}
+	var targets []*harness.Target
 	for n := range 3 {
 		m := c.AddAgent(fmt.Sprintf("zone-%d", n+1), "pedidos")
-		t, err := standin.NewTarget(fmt.Sprintf("i-%d", n+1), "pedidos", c.App(m), c.Outbound(m), c.Control(m))
-		if err != nil {
-			c.NoRun("target: %v", err)
-		}
-		defer t.Close()
+		agents = append(agents, m)
+		targets = append(targets, c.StartTarget(m, fmt.Sprintf("i-%d", n+1), "pedidos", time.Now().UnixMilli()))
 	}
 	for _, b := range balancers {
 		c.AwaitReady(b)
 	}
-	time.Sleep(6 * time.Second)
-	for _, b := range balancers {
-		if answer, err := request(c, b, lines); err != nil {
-			c.NoRun("request before the changes: %v", err)
-		} else {
-			c.Log("request to route lines via %s before the changes: answered %q", b.Name, answer)
+	// All eras are settled after 8 to 11 s.
+	time.Sleep(14 * time.Second)
+	for n, b := range balancers {
+		caller := c.NewCaller(feed, harness.Via(b))
+		if err := caller.Open(); err != nil {
+			c.NoRun("flow %d before the disruption: %v", n, err)
 		}
+		answer, err := caller.SendRequest("before")
+		c.Log("request via %s before the disruption: answered by %q, %v", b.Name, answer, err)
+		caller.Close()
 	}
+
+	host := targets[0]
 	if harness.Trouble() {
-		for n := range changes - 1 {
-			version := c.Configure(before)
-			c.Log("version %d acknowledged (change %d of %d)", version, n+1, changes)
-			time.Sleep(gap)
-		}
+		host.Crash()
+		crashed := time.Now()
+		c.Log("%s crashes", host.ID)
+		time.Sleep(time.Until(crashed.Add(lossAfter)))
+		c.Log("the store begins to lose answers of writes")
+		late.LoseWrites(writeDelay)
+		time.Sleep(time.Until(crashed.Add(crashFor)))
+		host = c.StartTarget(agents[0], "i-1b", "pedidos", time.Now().UnixMilli())
+		time.Sleep(time.Until(crashed.Add(lossAfter + lossFor)))
+		late.Heal()
+		c.Log("the store loses no more answers; %d writes got none", late.Lost())
 	}
-	version := c.Configure(after)
-	acknowledged := time.Now()
-	c.Log("version %d acknowledged: adds route newest, removes route dropped", version)
-	for _, age := range []time.Duration{200 * time.Millisecond, 3 * time.Second, 9 * time.Second} {
-		time.Sleep(time.Until(acknowledged.Add(harness.Converge + age)))
-		for _, b := range balancers {
-			check(c, b, version, acknowledged)
+	calm := time.Now().Add(harness.InTouch)
+	time.Sleep(300 * time.Millisecond)
+	open := openFlows(c, host, balancers)
+
+	for end := time.Now().Add(watchFor); time.Now().Before(end); time.Sleep(requestEvery) {
+		for n := 0; n < len(open); n++ {
+			k := open[n]
+			sentAt := time.Now()
+			_, err := k.caller.SendRequest(fmt.Sprintf("%s at %d", k.name, sentAt.UnixMilli()))
+			if err == nil {
+				continue
+			}
+			c.Log("%s on flow %s: %v; %s runs and holds the flow: %v", k.name, k.caller.Flow(), err, host.ID, host.Holds(k.caller.Endpoint()))
+			if err == standin.ErrReset && host.Holds(k.caller.Endpoint()) && sentAt.After(calm) {
+				c.Broken("FLOW", "%s got a reset on its open flow, which %s holds, %v after the end of all disruptions", k.name, host.ID,
+					sentAt.Sub(calm.Add(-harness.InTouch)).Round(time.Millisecond))
+			}
+			open = append(open[:n], open[n+1:]...)
+			n--
 		}
 	}
+	c.Log("%d of %d flows are still open", len(open), flowsToOpen)
 	c.Finish()
 }
 
-func request(c *harness.Cluster, via *harness.Machine, address netip.AddrPort) (string, error) {
-	caller := c.NewCaller(address, harness.Via(via))
-	defer caller.Close()
-	if err := caller.Open(); err != nil {
-		return "", err
-	}
-	return caller.SendRequest("request")
-}
-
-// check sends requests to the route that the newest version adds and to the one that it removes.
-func check(c *harness.Cluster, via *harness.Machine, version uint64, acknowledged time.Time) {
-	age := time.Since(acknowledged)
-	answer, err := request(c, via, newest)
-	if err != nil {
-		c.Broken("CONFIG", "request to route newest via %s, sent %v after the acknowledgement of version %d: %v", via.Name, age, version, err)
-	} else {
-		c.Log("request to route newest via %s, sent %v after the acknowledgement: answered %q", via.Name, age, answer)
-	}
-	age = time.Since(acknowledged)
-	answer, err = request(c, via, dropped)
-	if err == nil {
-		c.Broken("CONFIG", "request to route dropped via %s, sent %v after the acknowledgement of version %d: run, answered %q", via.Name, age, version, answer)
-	} else {
-		c.Log("request to route dropped via %s, sent %v after the acknowledgement: %v", via.Name, age, err)
+// openFlows opens flows until the target holds flowsToOpen of them.
+func openFlows(c *harness.Cluster, host *harness.Target, balancers []*harness.Machine) (open []*client) {
+	for n := 0; len(open) < flowsToOpen; n++ {
+		if n == 200 {
+			c.NoRun("%s gets no flows", host.ID)
+		}
+		via := balancers[n%len(balancers)]
+		caller := c.NewCaller(feed, harness.Via(via))
+		if err := caller.Open(); err != nil {
+			c.Log("flow via %s: %v", via.Name, err)
+			caller.Close()
+			continue
+		}
+		answer, err := caller.SendRequest("first")
+		if err != nil || answer != host.ID {
+			_ = caller.Finish()
+			caller.Close()
+			continue
+		}
+		k := &client{name: fmt.Sprintf("client-%d", len(open)+1), caller: caller}
+		c.Log("%s has an open flow %s at %s, its packets go via %s", k.name, caller.Flow(), answer, via.Name)
+		open = append(open, k)
 	}
+	return open
 }
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -76,6 +76,9 @@
 	Store *standin.Store
 	Seeds []netip.AddrPort
 
+	// storeAddress is where the machines reach the store.
+	storeAddress string
+
 	dir       string
 	octet     byte
 	firstPort uint16
@@ -95,7 +98,7 @@
 	dir, err := os.MkdirTemp("", "review")
 	must(err)
 	c := &Cluster{Store: standin.NewStore(), dir: dir, octet: byte(10 + os.Getpid()%200), record: record, started: time.Now()}
-	c.firstPort = c.freePorts()
+	c.storeAddress, c.firstPort = c.Store.Address(), c.freePorts()
 	c.Log("disruption: %v, ports from %d", Trouble(), c.firstPort)
 	return c
 }
@@ -109,7 +112,7 @@
 
 // freePorts returns the first of eight ports at which nothing listens on loopback.
 func (c *Cluster) freePorts() uint16 {
-	for port := uint16(21000 + os.Getpid()%2000*8); ; port += 8 {
+	for port := uint16(21000 + os.Getpid()%1400*8); ; port += 8 {
 		isFree := true
 		for n := range uint16(8) {
 			listener, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port+n))
@@ -222,7 +225,7 @@
 	m := &Machine{Name: fmt.Sprintf("front-%s-%d", zone, c.count+1), Zone: zone, IP: c.NewIP(), program: "gentian-balancer", template: "balancer.yaml"}
 	m.fields = map[string]string{
 		"zone": zone, "listen.datagram_addr": c.at(m.IP, portData).String(), "listen.ready": c.at(m.IP, portReady).String(),
-		"ip": m.IP.String(), "port_range.0": fmt.Sprint(c.firstPort + portPeer), "platform.address": c.Store.Address(),
+		"ip": m.IP.String(), "port_range.0": fmt.Sprint(c.firstPort + portPeer), "platform.address": c.storeAddress,
 	}
 	if len(c.Seeds) < 3 {
 		c.Seeds = append(c.Seeds, c.at(m.IP, portControl))
@@ -239,7 +242,7 @@
 		"zone": zone, "listen.datagram_addr": c.at(m.IP, portData).String(), "listen.outbound": c.at(m.IP, portOutbound).String(),
 		"listen.control": c.at(m.IP, portControl).String(), "app": c.at(m.IP, PortApp).String(), "service": service,
 		"heartbeat_ms": fmt.Sprint(Heartbeat.Milliseconds()), "ip": m.IP.String(), "port_range.0": fmt.Sprint(c.firstPort + portPeer),
-		"platform.address": c.Store.Address(), "bounds.grace_s": "6", "bounds.flow_ttl_s": "60",
+		"platform.address": c.storeAddress, "bounds.grace_s": "6", "bounds.flow_ttl_s": "60",
 	}
 	c.machines = append(c.machines, m)
 	c.Start(m)
