--- a/review/1/main.go
+++ b/review/1/main.go
@@ -48,17 +48,14 @@
 	}
 	// All eras are settled after 8 to 11 s.
 	time.Sleep(14 * time.Second)
-	for n, b := range balancers {
-		caller := c.NewCaller(feed, harness.Via(b))
-		if err := caller.Open(); err != nil {
-			c.NoRun("flow %d before the disruption: %v", n, err)
-		}
-		answer, err := caller.SendRequest("before")
-		c.Log("request via %s before the disruption: answered by %q, %v", b.Name, answer, err)
-		caller.Close()
-	}
-
 	host := targets[0]
+	before := openFlows(c, host, balancers)
+	for _, k := range before {
+		answer, err := k.caller.SendRequest("before")
+		c.Log("%s sends a request before the disruption: answered by %q, %v", k.name, answer, err)
+		_ = k.caller.Finish()
+		k.caller.Close()
+	}
 	if harness.Trouble() {
 		host.Crash()
 		crashed := time.Now()
