--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -344,6 +344,16 @@
 	return answer.StatusCode == http.StatusOK
 }
 
+// IsListening reports whether an agent accepts connections for heartbeats.
+func (c *Cluster) IsListening(m *Machine) bool {
+	conn, err := net.DialTimeout("tcp4", c.Control(m).String(), 100*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // AwaitReady waits until a balancer is ready.
 func (c *Cluster) AwaitReady(m *Machine) {
 	c.Await(m.Name+" is ready", 10*time.Second, func() bool { return c.IsReady(m) })
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -44,6 +44,7 @@
 	runs       map[string]int
 	syns       []time.Time
 	sequence   int64
+	sentAt     time.Time
 	isDraining bool
 	closed     chan struct{}
 	closeOnce  sync.Once
@@ -142,7 +143,24 @@
 }
 
 func (t *Target) sendHeartbeat() (int, error) {
-	raw, err := json.Marshal(t.Body())
+	body := t.Body()
+	t.mu.Lock()
+	t.sentAt = time.Now()
+	t.mu.Unlock()
+	return t.Deliver(body)
+}
+
+// HasJustSentHeartbeat reports whether the target has sent a heartbeat in the last 100 ms.
+func (t *Target) HasJustSentHeartbeat() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	age := time.Since(t.sentAt)
+	return 30*time.Millisecond < age && age < 100*time.Millisecond
+}
+
+// Deliver sends a heartbeat to the agent, and returns the status of the answer.
+func (t *Target) Deliver(body map[string]any) (int, error) {
+	raw, err := json.Marshal(body)
 	if err != nil {
 		return 0, err
 	}
