--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -115,7 +115,7 @@
 	for port := uint16(21000 + os.Getpid()%1400*8); ; port += 8 {
 		isFree := true
 		for n := range uint16(8) {
-			listener, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port+n))
+			listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+n))
 			if err != nil {
 				isFree = false
 				break
