--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,6 +1,7 @@
 //go:build review
 
-// Case 1: a write that gets no answer and is done late, while the target that it reports as gone is back.
+// A host crashes and is back 3 to 4.5 s later. Meanwhile the store loses the answer of a write and does the write later. Then the
+// flows that the host has opened since are used.
 package main
 
 import (
@@ -13,109 +14,104 @@
 )
 
 const (
-	crashFor     = 3150 * time.Millisecond
-	lossAfter    = 2200 * time.Millisecond
-	lossFor      = time.Second
-	writeDelay   = 5500 * time.Millisecond
-	flowsToOpen  = 5
-	requestEvery = 400 * time.Millisecond
-	watchFor     = 16 * time.Second
+	service = "svc"
+	// lostFor bounds the loss of answers (platform_lost: for_s 4.5), and lateBy the delay of a write (1 to 6 s).
+	lostFor = 4500 * time.Millisecond
+	lateBy  = 6 * time.Second
+	// downFor bounds the time for which the host is down (srv_crash: for_s 4.5).
+	downFor = 4500 * time.Millisecond
+	// maxFlows bounds the flows that are opened until four are at the host.
+	maxFlows = 60
 )
 
-var feed = netip.MustParseAddrPort("127.200.0.1:8443")
-
-type client struct {
-	name   string
-	caller *standin.Caller
-}
-
 func main() {
 	c := harness.New()
-	c.Configure([]harness.Route{{Name: "feed", Address: feed, Service: "pedidos", Type: "safe", Priority: 2}})
 	late := c.NewLateStore()
-	var balancers, agents []*harness.Machine
-	for n := range 3 {
-		balancers = append(balancers, c.AddBalancer(fmt.Sprintf("zone-%d", n+1)))
-	}
+	balancers := []*harness.Machine{c.AddBalancer("zone-a"), c.AddBalancer("zone-b")}
+	agents := []*harness.Machine{c.AddAgent("zone-a", service), c.AddAgent("zone-b", service)}
 	var targets []*harness.Target
-	for n := range 3 {
-		m := c.AddAgent(fmt.Sprintf("zone-%d", n+1), "pedidos")
-		agents = append(agents, m)
-		targets = append(targets, c.StartTarget(m, fmt.Sprintf("i-%d", n+1), "pedidos", time.Now().UnixMilli()))
+	for n, agent := range agents {
+		c.Await(agent.Name+" listens", 10*time.Second, func() bool { return c.IsListening(agent) })
+		targets = append(targets, c.StartTarget(agent, fmt.Sprintf("i-host-%d", n+1), service, time.Now().UnixMilli()))
 	}
+	route := harness.Route{Name: "r-1", Address: netip.MustParseAddrPort("127.250.0.1:8443"), Service: service, Type: "safe"}
+	c.Configure([]harness.Route{route})
 	for _, b := range balancers {
 		c.AwaitReady(b)
 	}
-	// All eras are settled after 8 to 11 s.
-	time.Sleep(14 * time.Second)
-	host := targets[0]
-	before := openFlows(c, host, balancers)
-	for _, k := range before {
-		answer, err := k.caller.SendRequest("before")
-		c.Log("%s sends a request before the disruption: answered by %q, %v", k.name, answer, err)
-		_ = k.caller.Finish()
-		k.caller.Close()
-	}
-	if harness.Trouble() {
-		host.Crash()
-		crashed := time.Now()
-		c.Log("%s crashes", host.ID)
-		time.Sleep(time.Until(crashed.Add(lossAfter)))
-		c.Log("the store begins to lose answers of writes")
-		late.LoseWrites(writeDelay)
-		time.Sleep(time.Until(crashed.Add(crashFor)))
-		host = c.StartTarget(agents[0], "i-1b", "pedidos", time.Now().UnixMilli())
-		time.Sleep(time.Until(crashed.Add(lossAfter + lossFor)))
-		late.Heal()
-		c.Log("the store loses no more answers; %d writes got none", late.Lost())
-	}
-	calm := time.Now().Add(harness.InTouch)
-	time.Sleep(300 * time.Millisecond)
-	open := openFlows(c, host, balancers)
+	time.Sleep(5 * time.Second)
 
-	for end := time.Now().Add(watchFor); time.Now().Before(end); time.Sleep(requestEvery) {
-		for n := 0; n < len(open); n++ {
-			k := open[n]
-			sentAt := time.Now()
-			_, err := k.caller.SendRequest(fmt.Sprintf("%s at %d", k.name, sentAt.UnixMilli()))
-			if err == nil {
-				continue
-			}
-			c.Log("%s on flow %s: %v; %s runs and holds the flow: %v", k.name, k.caller.Flow(), err, host.ID, host.Holds(k.caller.Endpoint()))
-			if err == standin.ErrReset && host.Holds(k.caller.Endpoint()) && sentAt.After(calm) {
-				c.Broken("FLOW", "%s got a reset on its open flow, which %s holds, %v after the end of all disruptions", k.name, host.ID,
-					sentAt.Sub(calm.Add(-harness.InTouch)).Round(time.Millisecond))
-			}
-			open = append(open[:n], open[n+1:]...)
-			n--
+	c.Log("target i-host-1 crashes")
+	crashed := time.Now()
+	targets[0].Crash()
+	time.Sleep(time.Second)
+	if harness.Trouble() {
+		c.Log("the store begins to lose the answers of writes")
+		late.LoseWrites(lateBy)
+		for late.Lost() == 0 && time.Since(crashed) < downFor {
+			time.Sleep(10 * time.Millisecond)
 		}
+	} else {
+		time.Sleep(2500 * time.Millisecond)
 	}
-	c.Log("%d of %d flows are still open", len(open), flowsToOpen)
-	c.Finish()
-}
+	time.Sleep(100 * time.Millisecond)
+	targets[0] = c.StartTarget(agents[0], "i-host-1", service, time.Now().UnixMilli())
+	c.Log("target i-host-1 is back after %.1f s; writes lost: %d", time.Since(crashed).Seconds(), late.Lost())
+	back := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	late.Heal()
+	healed := time.Now()
+	c.Log("the store answers again")
+	time.Sleep(2500 * time.Millisecond)
 
-// openFlows opens flows until the target holds flowsToOpen of them.
-func openFlows(c *harness.Cluster, host *harness.Target, balancers []*harness.Machine) (open []*client) {
-	for n := 0; len(open) < flowsToOpen; n++ {
-		if n == 200 {
-			c.NoRun("%s gets no flows", host.ID)
+	var callers []*standin.Caller
+	atCrashed := 0
+	for n := 0; atCrashed < 4; n++ {
+		if n == maxFlows {
+			c.NoRun("%d of %d flows are at target i-host-1", atCrashed, n)
 		}
-		via := balancers[n%len(balancers)]
-		caller := c.NewCaller(feed, harness.Via(via))
+		caller := c.NewCaller(route.Address, harness.Via(balancers[n%2]))
 		if err := caller.Open(); err != nil {
-			c.Log("flow via %s: %v", via.Name, err)
-			caller.Close()
-			continue
+			c.NoRun("flow %d: %v", n, err)
+		}
+		answer, err := caller.SendRequest(fmt.Sprintf("first-%d", n))
+		if err != nil {
+			c.NoRun("flow %d: %v", n, err)
 		}
-		answer, err := caller.SendRequest("first")
-		if err != nil || answer != host.ID {
-			_ = caller.Finish()
-			caller.Close()
-			continue
+		c.Log("flow %d of %s is open at target %s", n, caller.Endpoint(), answer)
+		if answer == targets[0].ID {
+			atCrashed++
 		}
-		k := &client{name: fmt.Sprintf("client-%d", len(open)+1), caller: caller}
-		c.Log("%s has an open flow %s at %s, its packets go via %s", k.name, caller.Flow(), answer, via.Name)
-		open = append(open, k)
+		callers = append(callers, caller)
 	}
-	return open
+	isReset := make([]bool, len(callers))
+	for round := 0; time.Since(healed) < 14*time.Second; round++ {
+		time.Sleep(500 * time.Millisecond)
+		for n, caller := range callers {
+			if isReset[n] {
+				continue
+			}
+			_, err := caller.SendRequest(fmt.Sprintf("round-%d-%d", round, n))
+			held := ""
+			for _, t := range targets {
+				if t.Holds(caller.Endpoint()) {
+					held = t.ID
+				}
+			}
+			if err != nil {
+				isReset[n] = true
+				c.Log("flow %d: %v; open at target %q", n, err, held)
+			}
+			if err == standin.ErrReset && held != "" {
+				calm := min(time.Since(healed), time.Since(back))
+				if calm < harness.InTouch {
+					c.Log("%.1f s after the disruptions: not counted", calm.Seconds())
+					continue
+				}
+				c.Broken("FLOW", "the client of flow %d got a reset that its target %s did not send, %.1f s after the end of the disruptions",
+					n, held, calm.Seconds())
+			}
+		}
+	}
+	c.Finish()
 }
