--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,10 +1,13 @@
 //go:build review
 
-// Case 3: a route moves to another service, and then a balancer is added.
+// A heartbeat of another writer, with fields missing, arrives at an agent. Then the target's flows are used.
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -12,107 +15,79 @@
 	"gentianswitch/review/harness"
 )
 
-var feed = netip.MustParseAddrPort("127.200.0.1:8443")
-
-const clients = 6
-
-// client has one open flow, on which it sends a request every two seconds.
-type client struct {
-	name     string
-	caller   *standin.Caller
-	via      *harness.Machine
-	holder   string
-	openedAt time.Time
-}
+const service = "svc"
 
 func main() {
 	c := harness.New()
-	route := func(service string) []harness.Route {
-		return []harness.Route{{Name: "feed", Address: feed, Service: service, Type: "safe", Priority: 2}}
-	}
-	c.Configure(route("pedidos"))
-	var balancers []*harness.Machine
-	for n := range 3 {
-		balancers = append(balancers, c.AddBalancer(fmt.Sprintf("zone-%d", n+1)))
-	}
-	targets := map[string]*harness.Target{}
-	for n, service := range []string{"pedidos", "pedidos", "pedidos", "pedidos-new", "pedidos-new", "pedidos-new"} {
-		m := c.AddAgent(fmt.Sprintf("zone-%d", n%3+1), service)
-		name := fmt.Sprintf("i-%s-%d", service, n+1)
-		targets[name] = c.StartTarget(m, name, service, time.Now().UnixMilli())
+	balancers := []*harness.Machine{c.AddBalancer("zone-a"), c.AddBalancer("zone-b")}
+	agents := []*harness.Machine{c.AddAgent("zone-a", service), c.AddAgent("zone-b", service)}
+	var targets []*harness.Target
+	for n, agent := range agents {
+		c.Await(agent.Name+" listens", 10*time.Second, func() bool { return c.IsListening(agent) })
+		targets = append(targets, c.StartTarget(agent, fmt.Sprintf("i-host-%d", n+1), service, time.Now().UnixMilli()))
 	}
+	route := harness.Route{Name: "r-1", Address: netip.MustParseAddrPort("127.250.0.1:8443"), Service: service, Type: "safe"}
+	c.Configure([]harness.Route{route})
 	for _, b := range balancers {
 		c.AwaitReady(b)
 	}
-	// All eras are settled after 8 to 11 s.
-	time.Sleep(14 * time.Second)
-
-	var open []*client
-	for n := range clients {
-		k := &client{name: fmt.Sprintf("client-%d", n+1), via: balancers[n%len(balancers)], openedAt: time.Now()}
-		k.caller = c.NewCaller(feed, func() *harness.Machine { return k.via })
-		defer k.caller.Close()
-		if err := k.caller.Open(); err != nil {
-			c.NoRun("%s opens its flow: %v", k.name, err)
+	time.Sleep(2 * time.Second)
+	var callers []*standin.Caller
+	for n := range 8 {
+		caller := c.NewCaller(route.Address, harness.Via(balancers[n%2]))
+		if err := caller.Open(); err != nil {
+			c.NoRun("flow %d: %v", n, err)
 		}
-		open = append(open, k)
-		request(c, k, 0)
-	}
-	time.Sleep(time.Second)
-	version := c.Configure(route("pedidos-new"))
-	c.Log("version %d acknowledged: route feed goes from service pedidos to service pedidos-new", version)
-	for n := range 3 {
-		time.Sleep(2 * time.Second)
-		for _, k := range open {
-			request(c, k, n+1)
+		answer, err := caller.SendRequest(fmt.Sprintf("first-%d", n))
+		if err != nil {
+			c.NoRun("flow %d: %v", n, err)
 		}
+		c.Log("flow %d of %s is open at target %s", n, caller.Endpoint(), answer)
+		callers = append(callers, caller)
 	}
-	fresh := c.NewCaller(feed, harness.Via(balancers[0]))
-	defer fresh.Close()
-	if err := fresh.Open(); err != nil {
-		c.NoRun("new flow after the change: %v", err)
-	}
-	answer, err := fresh.SendRequest("new")
-	c.Log("request on a flow opened after the change: answered by %q, %v", answer, err)
-
+	time.Sleep(harness.InTouch)
 	if harness.Trouble() {
-		added := c.AddBalancer("zone-1")
-		c.AwaitReady(added)
-		c.Log("%s was added; from now on the routers send it the packets of half of the flows", added.Name)
-		for n, k := range open {
-			if n%2 == 0 {
-				k.via = added
+		for n, agent := range agents {
+			body := targets[n].Body()
+			for _, field := range []string{"born", "zone", "version", "warmup_left_ms"} {
+				delete(body, field)
 			}
+			status, err := put(fmt.Sprintf("http://%s/v1/instances/i-other-%d", c.Control(agent), n), body)
+			c.Log("a heartbeat of another writer without the fields born, zone, version and warmup_left_ms at %s: status %d, %v",
+				agent.Name, status, err)
 		}
 	}
-	// Until then the added machine has been in touch for stable_window_ms.
-	time.Sleep(harness.InTouch + 500*time.Millisecond)
-	for n := range 3 {
-		time.Sleep(2 * time.Second)
-		for _, k := range open {
-			if k.caller == nil {
-				continue
-			}
-			if err := request(c, k, n+4); err != nil {
-				c.Broken("FLOW", "the open flow %s of %s, held by %s, got via %s: %v; age of the flow %v, its target runs and holds it: %v",
-					k.caller.Flow(), k.name, k.holder, k.via.Name, err, time.Since(k.openedAt).Round(time.Millisecond),
-					targets[k.holder].Holds(k.caller.Endpoint()))
-				k.caller = nil
+	time.Sleep(500 * time.Millisecond)
+	for n, caller := range callers {
+		answer, err := caller.SendRequest(fmt.Sprintf("second-%d", n))
+		held := ""
+		for _, t := range targets {
+			if t.Holds(caller.Endpoint()) {
+				held = t.ID
 			}
 		}
+		c.Log("flow %d: answer of %q, error %v; open at target %q", n, answer, err, held)
+		if err == standin.ErrReset && held != "" {
+			c.Broken("FLOW", "the client of flow %d got a reset that its target %s did not send", n, held)
+		}
 	}
 	c.Finish()
 }
 
-// request sends a request on an open flow. It returns the error if the flow was reset.
-func request(c *harness.Cluster, k *client, n int) error {
-	answer, err := k.caller.SendRequest(fmt.Sprintf("%s-%d", k.name, n))
-	c.Log("%s sends request %d via %s: answered by %q, %v", k.name, n, k.via.Name, answer, err)
-	if err == nil {
-		k.holder = answer
+func put(url string, body map[string]any) (int, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(raw))
+	if err != nil {
+		return 0, err
 	}
-	if err == standin.ErrReset {
-		return err
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
 	}
-	return nil
+	_ = answer.Body.Close()
+	return answer.StatusCode, nil
 }
