An open flow is searched at every service before it is reset

Callers saw: a route had moved to another service, and one balancer was behind with its routes. It reset flows that another balancer had opened at the new service, while their target served them.

Cause: the search for an open flow ended with the services that the known tables name, once the balancer had known every table for the lifetime of a flow. That all known tables are searched does not show that no newer table names another service. The check before a reset reads the targets, but not the routes.

Ruled out: the list of targets (it holds the flow's target, under the other service), the order of candidates.

Change: the search continues through all services that have targets, up to 16, at any time and not only in the first minute of a balancer. With more than 16 services, the history decides as before. A retransmitted opening packet that its services decline is dropped while a service that was not searched has targets: its flow may be open there. Without such a service it is reset as before.

--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -312,7 +312,7 @@
 		d.Verdict, d.Reason = Drop, UnknownHistory
 	case !isRevalidated && packetKind(p) != directory.OpeningPacket:
 		d.Verdict = Revalidate
-	case packetKind(p) == directory.RetransmittedOpeningPacket && s.mayBeOpening(now, p.Destination):
+	case packetKind(p) == directory.RetransmittedOpeningPacket && s.mayBeOpening(now, d.Route, p.Destination):
 		d.Verdict, d.Reason = Drop, MayBeOpen
 	}
 	return d
@@ -365,7 +365,7 @@
 
 // appendServices appends to out the services whose targets may hold the flow, in the order in which they are searched: the
 // service that new flows with this hash go to, then the other services of the route, then, unless the packet opens the flow,
-// the previous services of the route, and those that an unknown earlier table may have named.
+// the previous services of the route, and those that a table which this balancer does not know may have named.
 func (s *Machine) appendServices(
 	out []desired.ServiceKey, now time.Time, route *desired.Route, id flow.ID, hash uint64, opens bool,
 ) []desired.ServiceKey {
@@ -392,5 +392,5 @@
 			out = append(out, previous.service)
 		}
 	}
-	return s.appendUnnamedServices(out, now)
+	return s.appendUnnamedServices(out)
 }
