--- a/internal/opaque/hop/hop_test.go
+++ b/internal/opaque/hop/hop_test.go
@@ -126,3 +126,17 @@
 		}
 	})
 }
+
+// Guards against fields of a status that are lost on the wire, or read from each other's bytes.
+func TestBalancerStatusSurvivesEncoding(t *testing.T) {
+	g := NewWithT(t)
+	for _, flags := range [][2]bool{{false, false}, {true, false}, {false, true}, {true, true}} {
+		status := hop.BalancerStatus{
+			Configuration: hop.ConfigurationSource{Version: 1 << 40, Holder: hop.IP{10, 1, 2, 3}}, Group: 1 << 30, IsWatching: flags[0],
+			Revision: 1<<50 + 1, Evacuation: 1<<51 + 2, IsEvacuated: flags[1], ColdRate: 1<<15 + 3,
+		}
+		g.Expect(hop.DecodeBalancerStatus(status.Append(nil))).To(Equal(status))
+	}
+	_, err := hop.DecodeBalancerStatus(make([]byte, 3))
+	g.Expect(err).To(MatchError(hop.ErrMalformed))
+}
--- a/internal/opaque/hop/status.go
+++ b/internal/opaque/hop/status.go
@@ -17,20 +17,38 @@
 	IsWatching bool
 	// Revision is the store.Version up to which the balancer has applied all changes.
 	Revision uint64
+	// Evacuation is the store.Version of the last change of the evacuation of the target's availability zone, or zero if there was
+	// none. IsEvacuated is set while the zone is evacuated.
+	Evacuation  uint64
+	IsEvacuated bool
+	// ColdRate is the number of opening packets a second that a cold target of the target's service bears, or zero if there is no
+	// limit.
+	ColdRate uint16
 }
 
-const balancerStatusBytes = configurationSourceBytes + 4 + 1 + 8
+const balancerStatusBytes = configurationSourceBytes + 4 + 1 + 8 + 8 + 2
+
+// Flags of a BalancerStatus.
+const (
+	watchingBit  = 1
+	evacuatedBit = 2
+)
 
 // Append appends the encoded status to raw.
 func (s BalancerStatus) Append(raw []byte) []byte {
 	raw = s.Configuration.Append(raw)
 	raw = binary.BigEndian.AppendUint32(raw, s.Group)
-	isWatching := byte(0)
+	flags := byte(0)
 	if s.IsWatching {
-		isWatching = 1
+		flags |= watchingBit
+	}
+	if s.IsEvacuated {
+		flags |= evacuatedBit
 	}
-	raw = append(raw, isWatching)
-	return binary.BigEndian.AppendUint64(raw, s.Revision)
+	raw = append(raw, flags)
+	raw = binary.BigEndian.AppendUint64(raw, s.Revision)
+	raw = binary.BigEndian.AppendUint64(raw, s.Evacuation)
+	return binary.BigEndian.AppendUint16(raw, s.ColdRate)
 }
 
 // DecodeBalancerStatus decodes a status that BalancerStatus.Append has encoded.
@@ -41,8 +59,10 @@
 	configuration, err := DecodeConfigurationSource(raw[:configurationSourceBytes])
 	rest := raw[configurationSourceBytes:]
 	return BalancerStatus{
-		Configuration: configuration, Group: binary.BigEndian.Uint32(rest), IsWatching: rest[4] == 1,
-		Revision: binary.BigEndian.Uint64(rest[5:]),
+		Configuration: configuration, Group: binary.BigEndian.Uint32(rest),
+		IsWatching: rest[4]&watchingBit != 0, IsEvacuated: rest[4]&evacuatedBit != 0,
+		Revision: binary.BigEndian.Uint64(rest[5:]), Evacuation: binary.BigEndian.Uint64(rest[13:]),
+		ColdRate: binary.BigEndian.Uint16(rest[21:]),
 	}, err
 }
 
