Evacuated availability zones receive no new flows

Callers saw: nothing.

Cause: nothing read the operator's request.

Change: balancers learn evacuations from the store's watch, from the list of the operators' keys (in place of the read of the configuration, so no call is added) and from each other. They place no new flows on targets of these zones; open flows stay. Pings tell the agents, which decline what a balancer that is behind still sends, and forward the opening packets that wait. If every target of a route is in an evacuated zone, its new flows are refused at once ("evacuated").

--- a/cmd/gentian-balancer/opaque.go
+++ b/cmd/gentian-balancer/opaque.go
@@ -62,12 +62,10 @@
 		Zone: parts.Common.Zone, Data: parts.Common.Data, Peer: o.peer, Ready: o.ready, Seeds: o.seeds, Linger: o.linger,
 	}
 	return program.NewKeylessProcess(forwarder.New(s, forwarder.Dependencies{
-		Codec: platform.PacketCodec{},
-		Store: platform.NewStore(o.store, store.NewObserver(parts.Scope, parts.Log)),
-		Configuration: forwarder.Configuration{
-			Key: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
-		},
-		ReadyHandler: platform.ReadyHandler,
-		Log:          parts.Log, Scope: parts.Scope,
+		Codec:         platform.PacketCodec{},
+		Store:         platform.NewStore(o.store, store.NewObserver(parts.Scope, parts.Log)),
+		Configuration: platform.Configuration(),
+		ReadyHandler:  platform.ReadyHandler,
+		Log:           parts.Log, Scope: parts.Scope,
 	}).Run), nil
 }
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -67,6 +67,16 @@
 	ConfigurationIgnored = define(412, logrus.InfoLevel, "configuration ignored",
 		"A source has a configuration whose version is not higher than that in force; it is ignored.", "configuration", "known", "source")
 
+	ZoneEvacuation = define(419, logrus.InfoLevel, "zone evacuation",
+		"An operator has evacuated an availability zone, or returned it to service: this balancer places no new flows, or new flows "+
+			"again, on its targets. Open flows stay.", "zone", "evacuated", "targets", "revision", "era")
+	EvacuationRefused = define(420, logrus.WarnLevel, "evacuation refused",
+		"The evacuation of an availability zone cannot be recorded; it is ignored.", "revision", "error")
+	TargetEvacuation = define(421, logrus.InfoLevel, "target evacuation",
+		"The agent starts or stops declining new flows, since the availability zone of its target is evacuated or returned to service. "+
+			"Its target still has this many open flows, and accepted the last new flow accepted_ms ago; -1 means never.",
+		"evacuated", "flows", "revision", "accepted_ms")
+
 	HandoverFailed = define(413, logrus.WarnLevel, "handover failed",
 		"The request to another balancer for the routes and targets that it knows failed.", "peer", "error")
 
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -44,6 +44,8 @@
 	// address.
 	removalRevisions map[hop.IP]store.Version
 	view             *View
+	// evacuated are the availability zones whose targets receive no new flows.
+	evacuated map[string]struct{}
 	// seed is a hash of the balancer's address, and zone is its availability zone.
 	seed  uint64
 	zone  string
@@ -106,6 +108,23 @@
 	}
 }
 
+// SetEvacuatedZones replaces the availability zones whose targets receive no new flows. The agents in zones that change are pinged at
+// once, since pings tell them.
+func (d *Directory) SetEvacuatedZones(now time.Time, zones map[string]struct{}) {
+	for _, t := range d.targets {
+		if _, isEvacuated := zones[t.Entry.Zone]; isEvacuated != d.isEvacuated(t) {
+			t.pingState.nextPingAt = now
+		}
+	}
+	d.evacuated = zones
+	d.rebuildView()
+}
+
+func (d *Directory) isEvacuated(t *Target) bool {
+	_, isEvacuated := d.evacuated[t.Entry.Zone]
+	return isEvacuated
+}
+
 // Lookup returns what the balancer knows of the target beside an agent.
 func (d *Directory) Lookup(agent hop.IP) (Target, bool) {
 	if t := d.targets[agent]; t != nil {
--- a/internal/opaque/directory/view.go
+++ b/internal/opaque/directory/view.go
@@ -38,7 +38,9 @@
 	// times localZoneFactor for a target in the balancer's zone.
 	Slots, Weight float64
 	IsDraining    bool
-	State         Reachability
+	// IsEvacuated is set while the availability zone of the target is evacuated.
+	IsEvacuated bool
+	State       Reachability
 	// joinedAt is the version of the store at which the target joined. zoneIndex is the index of its availability zone in the
 	// pool's zones.
 	joinedAt  store.Version
@@ -53,6 +55,17 @@
 	return nil
 }
 
+// IsEvacuated reports whether a service has targets and all of them are in evacuated zones.
+func (v *View) IsEvacuated(service desired.ServiceKey) bool {
+	candidates := v.Pool(service)
+	return len(candidates) > 0 && !slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.IsEvacuated })
+}
+
+// HasEvacuated reports whether a service has a target in an evacuated zone.
+func (v *View) HasEvacuated(service desired.ServiceKey) bool {
+	return slices.ContainsFunc(v.Pool(service), func(c Candidate) bool { return c.IsEvacuated })
+}
+
 // Services returns the services that have targets, in ascending order.
 func (v *View) Services() []desired.ServiceKey { return v.services }
 
@@ -83,7 +96,7 @@
 		slots := float64(max(t.Entry.Slots, 1))
 		p.candidates = append(p.candidates, Candidate{
 			Agent: t.Agent, Zone: t.Entry.Zone, Seed: t.seed, Slots: slots, Weight: slots * zoneFactor(d.zone, t.Entry.Zone),
-			IsDraining: t.Entry.IsDraining, State: t.State,
+			IsDraining: t.Entry.IsDraining, IsEvacuated: d.isEvacuated(t), State: t.State,
 			joinedAt: t.Entry.JoinVersion(t.Revision), zoneIndex: p.indexOfZone(t.Entry.Zone),
 		})
 	}
@@ -174,7 +187,7 @@
 	}
 	for _, s := range first {
 		c := s.candidate
-		if c.State == Gone || kind == OpeningPacket && (c.IsDraining || c.State == Dead) {
+		if c.State == Gone || c.IsEvacuated || kind == OpeningPacket && (c.IsDraining || c.State == Dead) {
 			continue
 		}
 		s.agent, s.tier = c.Agent, uint8(c.State)
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -129,6 +129,7 @@
 		events.F("received", state.Configuration.Revision.Revision()),
 		events.F("known_from", f.historyFrom()))
 	f.recordFetchedEra(state)
+	f.applyEvacuationList(state.Evacuations, state.EvacuationsListedAt)
 	f.applyFetchedTargets(state)
 	if state.IsSufficientFor(request) {
 		f.mu.Lock()
@@ -227,7 +228,8 @@
 	defer f.mu.Unlock()
 	state := handover.State{
 		Revision: f.appliedRevision, SettledEra: f.settlement.Settled(),
-		IsSnapshot: request.After < f.snapshotRevision || request.After == 0,
+		IsSnapshot: request.After < f.snapshotRevision || request.After == 0, Evacuations: f.evacuations.All(),
+		EvacuationsListedAt: f.evacuations.ListedAt(),
 	}
 	after := request.After
 	if state.IsSnapshot {
--- a/internal/opaque/forwarder/entries.go
+++ b/internal/opaque/forwarder/entries.go
@@ -44,8 +44,8 @@
 	f.mu.Unlock()
 }
 
-// applyChange applies a change of the store: a new configuration, a settled era, or a new or removed target entry. Other keys are
-// ignored.
+// applyChange applies a change of the store: a new configuration, an evacuation, a settled era, or a new or removed target entry. Other
+// keys are ignored.
 func (f *Forwarder) applyChange(change store.Change) {
 	switch {
 	case change.Key == f.deps.Configuration.Key && !change.IsDeleted:
@@ -53,6 +53,10 @@
 			func(table *desired.Table) bool { return f.steer.SetTable(time.Now(), table) })
 	case change.Key == registry.EraKey && !change.IsDeleted:
 		f.handleRecordedEra(change.Item)
+	case strings.HasPrefix(change.Key, f.deps.Configuration.Prefix):
+		if zone, isEvacuation := f.deps.Configuration.EvacuatedZone(change.Key); isEvacuation {
+			f.applyEvacuations([]desired.Evacuation{{Zone: zone, Version: change.Version, IsEvacuated: !change.IsDeleted}})
+		}
 	case !strings.HasPrefix(change.Key, registry.Prefix):
 	case change.IsDeleted:
 		f.removeEntry(change.Item)
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -54,10 +54,13 @@
 	Linger time.Duration
 }
 
-// Configuration is the store key of the routes and the decoder of its value.
+// Configuration describes what operators write to the store.
 type Configuration struct {
-	Key    string
-	Decode func(raw []byte) (*desired.Table, error)
+	// Prefix is the common prefix of the operators' keys, Key is that of the routes, and Decode decodes the value of Key.
+	Prefix, Key string
+	Decode      func(raw []byte) (*desired.Table, error)
+	// EvacuatedZone returns the availability zone that is evacuated while the store holds a key. It reports false for other keys.
+	EvacuatedZone func(key string) (zone string, isEvacuation bool)
 }
 
 // Dependencies are the collaborators of a forwarder. The program that runs it creates them.
@@ -84,6 +87,8 @@
 	mu        sync.Mutex
 	steer     *steer.Machine
 	directory *directory.Directory
+	// evacuations are the availability zones whose targets receive no new flows.
+	evacuations desired.Evacuations
 	// hasListedTargets is set once all targets have been listed.
 	hasListedTargets bool
 	// storeAnsweredAt is the time of the last successful call to the store.
--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -214,20 +214,26 @@
 // any other ping only the versions of its configuration and of its view, by which an agent notices a restored store.
 func (f *Forwarder) tick(now time.Time) {
 	f.updateRole(now)
+	f.expireEvacuations()
 	f.mu.Lock()
 	pings, changes := f.directory.Tick(now)
 	f.updateView()
+	evacuations := make([]desired.Evacuation, len(pings))
+	for i, ping := range pings {
+		evacuations[i] = f.evacuationOf(ping.Agent)
+	}
 	f.mu.Unlock()
 	for _, change := range changes {
 		f.logTarget(change)
 	}
 	var buffer [hop.MaxGroupStatusFrame]byte
 	hubStatus := f.balancerStatus(now)
-	for _, ping := range pings {
+	for i, ping := range pings {
 		status := hubStatus
 		if !ping.IsToHub {
 			status = hop.BalancerStatus{Configuration: hubStatus.Configuration, Revision: hubStatus.Revision}
 		}
+		status.Evacuation, status.IsEvacuated = uint64(evacuations[i].Version), evacuations[i].IsEvacuated
 		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
 		f.sendToAgent(ping.Agent, h.Append(status.Append(buffer[:0])))
 	}
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -20,6 +20,7 @@
 	forwarded, reset, dropped tally.Counter
 	malformed, sendFailed     tally.Counter
 	located, pendingDropped   tally.Counter
+	evacuationsRefused        tally.Counter
 	configuration, storeAge   tally.Gauge
 	unsettled                 tally.Gauge
 	targets                   [directory.Gone + 1]tally.Gauge
@@ -36,9 +37,10 @@
 	}
 	c := counters{
 		forwarded: verdict(steer.Forward), reset: verdict(steer.Reset), dropped: verdict(steer.Drop),
-		malformed:  scope.Counter("opaque_malformed"),
-		sendFailed: scope.Counter("opaque_send_failed"),
-		located:    scope.Counter("opaque_located"), pendingDropped: scope.Counter("opaque_held_dropped"),
+		malformed:          scope.Counter("opaque_malformed"),
+		sendFailed:         scope.Counter("opaque_send_failed"),
+		evacuationsRefused: scope.Counter("opaque_evacuations_refused"),
+		located:            scope.Counter("opaque_located"), pendingDropped: scope.Counter("opaque_held_dropped"),
 		configuration: scope.Gauge("opaque_configuration"), storeAge: scope.Gauge("opaque_store_age"),
 		unsettled:       scope.Gauge("opaque_unsettled"),
 		candidatesTried: scope.Histogram("opaque_walk", candidatesTriedBuckets),
--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -8,7 +8,6 @@
 	"github.com/rotisserie/eris"
 
 	"gentianswitch/internal/events"
-	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/internal/store"
 )
@@ -172,23 +171,18 @@
 	return f.appliedRevision
 }
 
-// readSnapshot reads all targets and the configuration, and returns the revision of the list of targets. The configuration is
-// read last, so that watching from that revision misses no change of it.
+// readSnapshot reads all targets and what operators have written, and returns the revision of the list of targets. The operators' keys
+// are read last, so that watching from that revision misses no change of them.
 func (f *Forwarder) readSnapshot(ctx context.Context) (store.Version, error) {
 	items, at, startedAt, err := f.listStore(ctx)
 	if err != nil {
 		return 0, err
 	}
-	configuration, err := f.deps.Store.Read(ctx, f.deps.Configuration.Key)
-	switch {
-	case err == nil:
-		// Versions before it may have been missed.
-		f.applyConfiguration(configuration, sourceStore, func(table *desired.Table) bool {
-			return f.steer.SetTableWithHistory(time.Now(), table, desired.History{Version: table.Version})
-		})
-	case !eris.Is(err, store.ErrNotFound):
+	operatorItems, operatorsAt, err := f.deps.Store.List(ctx, f.deps.Configuration.Prefix)
+	if err != nil {
 		return 0, err
 	}
+	f.applyOperatorItems(operatorItems, operatorsAt)
 	f.applySnapshot(items, at)
 	f.extendFreshness(startedAt)
 	f.updateReadiness()
--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -108,14 +108,14 @@
 	return g.refuse(now, &expired), true
 }
 
-// NextRedirect removes and returns an opening packet that goes to the next candidate because this agent shuts down. It reports
-// false when none waits.
-func (g *Gate[T]) NextRedirect(now time.Time) (Released[T], bool) {
+// NextRedirect removes and returns an opening packet that goes to the next candidate for a reason: this agent shuts down, or its zone is
+// evacuated. It reports false when none waits.
+func (g *Gate[T]) NextRedirect(now time.Time, reason resident.Reason) (Released[T], bool) {
 	next, ok := g.pending.Pop(now)
 	if !ok {
 		return Released[T]{}, false
 	}
-	return newReleased(now, &next, resident.Redirect(&next.Item.header)), true
+	return newReleased(now, &next, resident.Redirect(&next.Item.header, reason)), true
 }
 
 // refuse releases an opening packet that goes back to the balancer, since it found no room.
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -57,6 +57,10 @@
 	IsSnapshot bool   `msgpack:"whole"`
 	Targets    []Item `msgpack:"targets"`
 	Removed    []Item `msgpack:"removed"`
+	// Evacuations are all known evacuations of availability zones, including those that have ended. All other zones were in service
+	// at EvacuationsListedAt, which is zero if that is not known.
+	Evacuations         []desired.Evacuation `msgpack:"evacuations,omitempty"`
+	EvacuationsListedAt store.Version        `msgpack:"evacuations_at,omitempty"`
 }
 
 // Item is a key of the store with its value and revision.
--- a/internal/opaque/proof/simulation_test.go
+++ b/internal/opaque/proof/simulation_test.go
@@ -51,7 +51,8 @@
 	// have noticed that the VM is reachable again.
 	isCut            bool
 	cutAt, goneUntil time.Time
-	// forbiddenOpeningPackets counts the opening packets that the target received although it drained or was of another service.
+	// forbiddenOpeningPackets counts the opening packets that the target received although it drained, was of another service or in an evacuated
+	// zone.
 	forbiddenOpeningPackets int
 }
 
@@ -59,6 +60,8 @@
 type balancer struct {
 	steer     *steer.Machine
 	directory *directory.Directory
+	// evacuations is what the balancer knows of the evacuations of zones.
+	evacuations desired.Evacuations
 	// revalidatedAt is when the balancer last read all targets from a settled store to revalidate its view.
 	revalidatedAt time.Time
 }
@@ -87,6 +90,10 @@
 	// tables are the versions of the routes, the newest one last.
 	tables     []*desired.Table
 	lateWrites []lateWrite
+	// evacuated is the last change of the evacuation of each zone in the store. mustBeEmpty holds the zones whose evacuation every
+	// balancer knows.
+	evacuated   map[string]desired.Evacuation
+	mustBeEmpty map[string]bool
 }
 
 type storedEntry struct {
@@ -226,6 +233,7 @@
 	b := &balancer{steer: steer.New(hop.IP{10, 9, 0, 1}), directory: directory.New(hop.IP{10, 9, 0, 1}, zone)}
 	newest := s.tables[len(s.tables)-1]
 	b.steer.SetTableWithHistory(s.now, newest, desired.History{Version: newest.Version})
+	s.learnEvacuations(b)
 	s.revalidate(b)
 	return b
 }
@@ -433,7 +441,7 @@
 func (s *simulation) receiveAtTarget(h *host, p flow.Packet) bool {
 	id := p.IDFromCaller()
 	if p.Opens && !h.hasLeft {
-		if !s.isRouted(h.service) || h.isDraining && !h.flows[id] && !h.halfOpen[id] {
+		if !s.isRouted(h.service) || (h.isDraining || s.mustBeEmpty[h.zone]) && !h.flows[id] && !h.halfOpen[id] {
 			h.forbiddenOpeningPackets++
 		}
 		h.flows[id] = true
--- a/internal/opaque/resident/complete_test.go
+++ b/internal/opaque/resident/complete_test.go
@@ -163,9 +163,9 @@
 
 func TestStoppingAgentRedirectsPendingOpeningPacket(t *testing.T) {
 	g := NewWithT(t)
-	d := resident.Redirect(newHeader(next))
+	d := resident.Redirect(newHeader(next), resident.Stopping)
 	g.Expect(d.Verdict).To(Equal(resident.ForwardNext))
 	g.Expect(d.Reason).To(Equal(resident.Stopping))
 	g.Expect(d.Next).To(Equal(next))
-	g.Expect(resident.Redirect(newHeader()).Verdict).To(Equal(resident.ReturnToBalancer))
+	g.Expect(resident.Redirect(newHeader(), resident.Stopping).Verdict).To(Equal(resident.ReturnToBalancer))
 }
--- a/internal/opaque/resident/opening.go
+++ b/internal/opaque/resident/opening.go
@@ -125,8 +125,8 @@
 	return d
 }
 
-// Redirect returns the decision for an opening packet that waits at an agent that shuts down.
-func Redirect(h *hop.Header) Decision { return decline(h, Stopping) }
+// Redirect returns the decision for an opening packet that waits at an agent that accepts no new flows any more.
+func Redirect(h *hop.Header, reason Reason) Decision { return decline(h, reason) }
 
 // CanAnswerWithin reports whether the target is expected to answer one more flow within a time. It reports false while the
 // service times are not known.
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -66,13 +66,15 @@
 	Stopping
 	// Joining means that some balancers may not know the target yet.
 	Joining
+	// Evacuated means that the target accepts no new flow because its availability zone is evacuated.
+	Evacuated
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
 		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy", "forgotten",
-		"not_held", "stopping", "joining",
+		"not_held", "stopping", "joining", "evacuated",
 	}[r]
 }
 
@@ -197,6 +199,7 @@
 	case p.Accepts:
 		accepted := r.ensureFlow(now, id)
 		accepted.isAccepted, accepted.acceptedAt = true, now
+		r.target.acceptedAt = now
 	case f == nil:
 	case p.Resets:
 		r.deleteFlow(id, f)
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -67,6 +67,11 @@
 	// have lived while this process was running: that was its first heartbeat, or another one has followed an interval later.
 	heardTicks  int
 	isConfirmed bool
+	// evacuation is the store version of the last known change of the evacuation of the target's availability zone.
+	evacuation  uint64
+	isEvacuated bool
+	// acceptedAt is when the target last accepted a new flow.
+	acceptedAt time.Time
 	// successors are other incarnations that may have replaced the known one, and replaced are those that others have replaced.
 	successors []successor
 	replaced   []incarnation
@@ -83,6 +88,8 @@
 		return Absent
 	case t.isKnown && t.lastHeartbeat.IsDraining:
 		return Draining
+	case t.isEvacuated:
+		return Evacuated
 	case t.isJoining(now):
 		return Joining
 	case t.awaitsReply && now.Sub(t.openingSentAt) > acceptTimeout && now.Sub(t.openingSentAt) < silentRetryInterval:
@@ -199,6 +206,25 @@
 	r.target.isJoinPending = isJoining
 }
 
+// SetEvacuation records whether the availability zone of the target is evacuated, as a balancer has reported it with the store version of
+// the change. An older report than the last one is ignored: the balancer is behind. It reports whether the agent starts or stops
+// declining new flows.
+func (r *Machine) SetEvacuation(version uint64, isEvacuated bool) bool {
+	t := &r.target
+	if version <= t.evacuation {
+		return false
+	}
+	hasChanged := t.isEvacuated != isEvacuated
+	t.evacuation, t.isEvacuated = version, isEvacuated
+	return hasChanged
+}
+
+// IsEvacuated reports whether the availability zone of the target is evacuated.
+func (r *Machine) IsEvacuated() bool { return r.target.isEvacuated }
+
+// LastAcceptedAt returns when the target last accepted a new flow, or the zero time.
+func (r *Machine) LastAcceptedAt() time.Time { return r.target.acceptedAt }
+
 // SetLeft records that the store holds an entry that says that the target has left.
 func (r *Machine) SetLeft(now time.Time) { r.target.leaveStoredAt = now }
 
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -14,6 +14,10 @@
 	malformed, sendFailed tally.Counter
 	flows, waiting        tally.Gauge
 	openingWait           tally.Histogram
+	// evacuatedFlows is the number of flows while the zone of the target is evacuated, and evacuatedDeclined counts the opening packets
+	// that the agent has declined for that reason. lastAccepted is the age of the last new flow in seconds.
+	evacuatedFlows, lastAccepted tally.Gauge
+	evacuatedDeclined            tally.Counter
 }
 
 // waitBuckets are the bounds of the histogram of wait times. Opening packets wait for at most 1.2 s (admission.MaxWait).
@@ -25,7 +29,9 @@
 	c := counters{
 		malformed: scope.Counter("opaque_malformed"), sendFailed: scope.Counter("opaque_send_failed"),
 		flows: scope.Gauge("opaque_flows"), waiting: scope.Gauge("opaque_waiting"),
-		openingWait: scope.Histogram("opaque_opening_wait", waitBuckets),
+		openingWait:    scope.Histogram("opaque_opening_wait", waitBuckets),
+		evacuatedFlows: scope.Gauge("opaque_evacuated_flows"), lastAccepted: scope.Gauge("opaque_last_accepted_age"),
+		evacuatedDeclined: scope.Counter("opaque_evacuated_declined"),
 	}
 	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
--- a/internal/opaque/sidecar/pending.go
+++ b/internal/opaque/sidecar/pending.go
@@ -6,6 +6,7 @@
 
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/opaque/gate"
+	"gentianswitch/internal/opaque/resident"
 )
 
 // admitPending delivers pending opening packets to the target while it has room.
@@ -29,8 +30,8 @@
 }
 
 // redirectPending forwards all pending opening packets to their next candidates.
-func (s *Sidecar) redirectPending() {
-	s.processReleased(func() (gate.Released[[]byte], bool) { return s.gate.NextRedirect(time.Now()) })
+func (s *Sidecar) redirectPending(reason resident.Reason) {
+	s.processReleased(func() (gate.Released[[]byte], bool) { return s.gate.NextRedirect(time.Now(), reason) })
 }
 
 // processReleased calls next with mu held and applies the decision about the opening packet that it returns, until it returns
--- a/internal/opaque/sidecar/ping.go
+++ b/internal/opaque/sidecar/ping.go
@@ -4,8 +4,10 @@
 	"net/netip"
 	"time"
 
+	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/readers"
+	"gentianswitch/internal/opaque/resident"
 	"gentianswitch/internal/store"
 )
 
@@ -23,6 +25,7 @@
 		s.newestConfiguration = status.Configuration
 	}
 	s.handleBalancerEra(now, store.Version(status.Revision).Era())
+	s.handleEvacuation(now, status)
 	update := s.hub.HandleStatus(now, h.Origin, status)
 	groupStatus := hop.GroupStatus{Configuration: s.newestConfiguration, Uptime: now.Sub(s.startedAt)}
 	if status.Group != 0 {
@@ -40,3 +43,20 @@
 		s.send(frame, s.balancerAddress(member))
 	}
 }
+
+// handleEvacuation records whether the availability zone of the target is evacuated, as a balancer reports it. When the agent starts to
+// decline new flows, it forwards those that wait to their next candidates.
+func (s *Sidecar) handleEvacuation(now time.Time, status hop.BalancerStatus) {
+	s.mu.Lock()
+	hasChanged := s.gate.SetEvacuation(status.Evacuation, status.IsEvacuated)
+	flows, acceptedAt := s.gate.FlowCount(), s.gate.LastAcceptedAt()
+	s.mu.Unlock()
+	if !hasChanged {
+		return
+	}
+	s.deps.Log.Emit(events.TargetEvacuation, events.F("evacuated", status.IsEvacuated), events.F("flows", flows),
+		events.F("revision", store.Version(status.Evacuation).Revision()), events.Age("accepted_ms", now, acceptedAt))
+	if status.IsEvacuated {
+		s.redirectPending(resident.Evacuated)
+	}
+}
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -170,7 +170,7 @@
 			}
 		})
 	}
-	s.redirectPending()
+	s.redirectPending(resident.Stopping)
 }
 
 func (s *Sidecar) listen() error {
@@ -195,7 +195,16 @@
 		s.mu.Lock()
 		s.gate.Sweep(now)
 		flows, waiting := s.gate.FlowCount(), s.gate.PendingCount()
+		isEvacuated, acceptedAt := s.gate.IsEvacuated(), s.gate.LastAcceptedAt()
 		s.mu.Unlock()
+		evacuatedFlows := 0
+		if isEvacuated {
+			evacuatedFlows = flows
+		}
+		s.counters.evacuatedFlows.Update(float64(evacuatedFlows))
+		if !acceptedAt.IsZero() {
+			s.counters.lastAccepted.Update(now.Sub(acceptedAt).Seconds())
+		}
 		s.counters.flows.Update(float64(flows))
 		s.counters.waiting.Update(float64(waiting))
 	})
--- a/internal/opaque/steer/history.go
+++ b/internal/opaque/steer/history.go
@@ -152,10 +152,13 @@
 // opened the flow by a newer table, which names a service that this balancer's tables do not name.
 func (s *Machine) searchesAllServices() bool { return len(s.view.Services()) <= maxSearchedServices }
 
-// mayBeOpening reports whether a flow whose opening packet is retransmitted may be open at a service that has not been searched:
-// opening packets are only sent to the services that the route names now. If there are too many services, this covers the recent
+// mayBeOpening reports whether a flow whose opening packet is retransmitted may be open at a target that has not been searched: opening
+// packets are only sent to the services that the route names now, and not to evacuated zones. If there are too many services, this covers the recent
 // tables of this balancer, but not newer ones.
 func (s *Machine) mayBeOpening(now time.Time, route *desired.Route, address flow.Endpoint) bool {
+	if slices.ContainsFunc(route.Services, func(w desired.WeightedService) bool { return s.view.HasEvacuated(w.Service) }) {
+		return true
+	}
 	if s.searchesAllServices() {
 		return slices.ContainsFunc(s.view.Services(), func(service desired.ServiceKey) bool {
 			return !slices.ContainsFunc(route.Services, func(w desired.WeightedService) bool {
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -66,6 +66,8 @@
 	// UnknownHistory means that the balancer does not know which services the route has named before, and that there are too many
 	// to search all of them.
 	UnknownHistory
+	// Evacuated means that every target of the route's services is in an evacuated availability zone.
+	Evacuated
 )
 
 // String returns the name that metrics and logs use.
@@ -73,7 +75,7 @@
 	return [...]string{
 		"candidates", "located", "no_configuration", "no_route", "no_target", "all_declined",
 		"reset_of_unknown_flow", "view_changes", "may_be_open", "overload",
-		"unknown_history",
+		"unknown_history", "evacuated",
 	}[r]
 }
 
@@ -300,8 +302,11 @@
 // at all while it may be open at a service that has not been searched.
 func (s *Machine) decideExhausted(now time.Time, p *flow.Packet, d Decision, isRevalidated bool) Decision {
 	d.Verdict, d.Reason = Reset, AllDeclined
-	if s.view.Len() == 0 {
+	switch {
+	case s.view.Len() == 0:
 		d.Reason = NoTarget
+	case p.Opens && s.isEvacuated(d.Route):
+		d.Reason = Evacuated
 	}
 	switch {
 	case p.Resets:
@@ -318,6 +323,19 @@
 	return d
 }
 
+// isEvacuated reports whether no service of a route has a target outside the evacuated availability zones.
+func (s *Machine) isEvacuated(route *desired.Route) bool {
+	hasEvacuated := false
+	for i := range route.Services {
+		service := route.Services[i].Service
+		hasEvacuated = hasEvacuated || s.view.IsEvacuated(service)
+		if len(s.view.Pool(service)) > 0 && !s.view.IsEvacuated(service) {
+			return false
+		}
+	}
+	return hasEvacuated
+}
+
 // setCandidates writes the next candidates after the given number of tried ones into the header. The candidates of a header
 // belong to one service, since agents of other services decline the packet. It reports false when no candidate is left.
 func (s *Machine) setCandidates(d *Decision, now time.Time, p *flow.Packet, tried int) bool {
--- a/internal/opaque/steer/steer_test.go
+++ b/internal/opaque/steer/steer_test.go
@@ -401,3 +401,44 @@
 	g.Expect(s.Decide(start, dataPacket()).Agent).To(Equal(holder))
 	g.Expect(s.Decide(start, dataPacket()).Reason).To(Equal(steer.KnownLocation))
 }
+
+// Guards against new flows at targets of evacuated zones, against refusals while another zone has targets, and against a late copy of an
+// opening packet that resets a flow which stays open in an evacuated zone.
+func TestEvacuatedZonesReceiveNoOpeningPackets(t *testing.T) {
+	g := NewWithT(t)
+	s, d := newMachine()
+	for n := byte(1); n <= 6; n++ {
+		entry := registry.Entry{Service: "pedidos", Zone: []string{"a", "b"}[n%2], Slots: 3}
+		d.HandleEntry(start, agent(n), entry, store.Version(n))
+	}
+	evacuate := func(zones ...string) {
+		set := make(map[string]struct{})
+		for _, zone := range zones {
+			set[zone] = struct{}{}
+		}
+		d.SetEvacuatedZones(start, set)
+		s.SetView(d.View())
+	}
+	repeated := openingPacket()
+	repeated.Retransmissions = 1
+	evacuate("a")
+	for _, p := range []*flow.Packet{openingPacket(), repeated} {
+		h := s.Decide(start, p).Header
+		g.Expect(h.Candidates[:h.CandidateCount]).To(HaveLen(2), "three targets are in the other zone, one of them is the first")
+		for _, candidate := range h.Candidates[:h.CandidateCount] {
+			target, _ := d.Lookup(candidate)
+			g.Expect(target.Entry.Zone).To(Equal("b"))
+		}
+	}
+	g.Expect(s.HandleRevalidated(start, repeated, declinedHeader(s, 3)).Verdict).To(Equal(steer.Drop), "the flow may be open in the zone")
+	searched := s.Decide(start, dataPacket())
+	g.Expect(searched.Header.CandidateCount).To(BeEquivalentTo(5), "open flows stay where they are")
+
+	evacuate("a", "b")
+	d1 := s.Decide(start, openingPacket())
+	g.Expect(d1.Verdict).To(Equal(steer.Reset))
+	g.Expect(d1.Reason).To(Equal(steer.Evacuated))
+
+	evacuate()
+	g.Expect(s.Decide(start, openingPacket()).Header.CandidateCount).To(BeEquivalentTo(5))
+}
