Real processes show that an evacuated zone receives no new flows

Cause: the part had random histories and tests without a network, but none with its programs, its store and its wire.

Change: three specs: open flows stay and new ones go elsewhere, also through a balancer that starts meanwhile, and the zone serves again; a store restored from a copy from before the evacuation; every zone evacuated, beside keys that cannot be read.

--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -207,8 +207,20 @@
 }
 
 func (d *opaqueDeployment) startTarget(ip netip.Addr, service string) *standin.Target {
+	return d.startTargetInZone("quito", ip, service)
+}
+
+// addTargetInZone starts a VM with an agent and a target of the service "lines" in an availability zone.
+func (d *opaqueDeployment) addTargetInZone(zone string) (*opaqueProcess, *standin.Target) {
+	ip := d.newIP()
+	p := d.startAgent(ip, "lines")
+	d.agents = append(d.agents, p)
+	return p, d.startTargetInZone(zone, ip, "lines")
+}
+
+func (d *opaqueDeployment) startTargetInZone(zone string, ip netip.Addr, service string) *standin.Target {
 	name := fmt.Sprintf("i-%s-%d", service, len(d.targets))
-	t, err := standin.NewTarget(name, service,
+	t, err := standin.NewTargetInZone(zone, name, service,
 		d.vmAddress(ip, opaquePortTarget), d.vmAddress(ip, opaquePortOutbound), d.vmAddress(ip, opaquePortAnnounce))
 	Expect(err).NotTo(HaveOccurred())
 	d.targets = append(d.targets, t)
