The soak evacuates a zone at random times, and checks it after the last fault

Cause: evacuations had no run beside the other faults of real processes.

Change: every third target is in a zone that is evacuated for up to 8 s at random times, also while the store is restored from copies that lack it. After the last fault the zone is evacuated once more: from 5 s on its targets accept no new flow, and after its return to service they do again.

--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -31,6 +31,10 @@
 	switch {
 	case f.kind == storeRestored:
 		s.injectRestoration(f)
+	case f.kind == evacuateZone:
+		s.store.Put(soakEvacuationKey, []byte("{}"))
+		time.Sleep(f.duration)
+		s.store.Delete(soakEvacuationKey)
 	case f.kind < crashTarget:
 		s.injectProcessFault(f)
 	case f.kind < storeBusy:
@@ -212,5 +216,5 @@
 	time.Sleep(5 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.currentTargets[victim] = s.startTarget(s.agents[victim].ip, "lines")
+	s.currentTargets[victim] = s.startTargetInZone(soakZone(victim), s.agents[victim].ip, "lines")
 }
--- a/integration/soak_schedule_test.go
+++ b/integration/soak_schedule_test.go
@@ -35,8 +35,9 @@
 	narrowNetwork
 	changeRoutes
 	faultKindCount
-	// storeRestored is not drawn among the other kinds; addRestorations adds it.
+	// storeRestored and evacuateZone are not drawn among the other kinds; addRestorations and addEvacuations add them.
 	storeRestored
+	evacuateZone
 )
 
 // String returns the name of the kind in the output of a soak.
@@ -45,7 +46,7 @@
 		"kill balancer", "stop balancer", "pause balancer", "kill agent", "pause agent", "kill all", "crash target",
 		"replace target", "store busy", "store resets", "store silent", "store loses answers", "store compacted",
 		"store slow", "drop store answers", "drop store traffic", "refuse store connections", "lossy network",
-		"narrow network", "change routes", "", "restore store",
+		"narrow network", "change routes", "", "restore store", "evacuate zone",
 	}[k]
 }
 
@@ -163,6 +164,28 @@
 	return faults
 }
 
+// meanEvacuationGap is the mean time between two evacuations of the zone, and longestEvacuation bounds the length of one.
+const (
+	meanEvacuationGap = 3 * time.Second
+	longestEvacuation = 8 * time.Second
+)
+
+// addEvacuations adds evacuations of random lengths at random times, beside all other faults.
+func addEvacuations(faults []fault, seed uint64, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(meanEvacuationGap))
+		if at >= length {
+			break
+		}
+		f := fault{kind: evacuateZone, at: at, duration: min(time.Duration(random.Int64N(int64(longestEvacuation))), length-at)}
+		faults = append(faults, f)
+		at += f.duration
+	}
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
 func (f fault) affectsStoreOrRoutes() bool {
 	switch f.kind {
 	case storeBusy, storeResets, storeSilent, storeLosesAnswers, storeCompacted, storeSlow, narrowNetwork, changeRoutes, storeRestored:
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -64,8 +64,8 @@
 		DeferCleanup(relay.Close)
 		s.relays = append(s.relays, relay)
 	}
-	for range *soakTargets {
-		s.addTarget()
+	for i := range *soakTargets {
+		s.addTargetInZone(soakZone(i))
 	}
 	s.currentTargets = append(s.currentTargets, s.targets...)
 	s.awaitReady()
@@ -73,6 +73,17 @@
 	return s
 }
 
+// soakEvacuationKey is the key that evacuates the zone of every third target.
+const soakEvacuationKey = "op/evacuate/ambato"
+
+// soakZone returns the availability zone of a target.
+func soakZone(target int) string {
+	if target%3 == 2 {
+		return "ambato"
+	}
+	return "quito"
+}
+
 // newStoreProxy starts a proxy between the store and the next process that is added, and returns its address.
 func (s *soak) newStoreProxy() string {
 	proxy, err := standin.NewProxy(s.store.Address())
@@ -246,6 +257,32 @@
 	}
 }
 
+// evacuationBound is the time from the evacuation of a zone in which its targets may still accept new flows.
+const evacuationBound = 5 * time.Second
+
+// checkEvacuation evacuates the zone after the last fault, and checks that its targets accept no new flows after the bound, and accept
+// new flows once the zone is in service again.
+func (s *soak) checkEvacuation() {
+	GinkgoHelper()
+	accepted := func() (flows int) {
+		for i, t := range s.currentTargets {
+			if soakZone(i) == "ambato" {
+				flows += t.AcceptedFlows()
+			}
+		}
+		return flows
+	}
+	s.store.Put(soakEvacuationKey, []byte("{}"))
+	time.Sleep(evacuationBound)
+	before := accepted()
+	time.Sleep(evacuationBound / 5)
+	if after := accepted(); after != before {
+		s.recordViolation("%d flows opened in the evacuated zone", after-before)
+	}
+	s.store.Delete(soakEvacuationKey)
+	Eventually(accepted).WithTimeout(opaqueWaitLimit).Should(BeNumerically(">", before), "the zone is in service again")
+}
+
 // expectEntries waits until the store holds the entry of every target.
 func (s *soak) expectEntries() {
 	GinkgoHelper()
@@ -285,7 +322,9 @@
 			}
 		})
 		faults := drawSchedule(*soakSeed, *soakTime, *soakBalancers, *soakTargets)
-		s.injectFaults(addRestorations(faults, *soakSeed, *soakTime))
+		faults = addRestorations(faults, *soakSeed, *soakTime)
+		s.injectFaults(addEvacuations(faults, *soakSeed, *soakTime))
+		s.checkEvacuation()
 		close(done)
 		callers.Wait()
 		s.expectRecovered()
