Agents record persistent flows in the store and reset them after a power loss

After a power loss no process knows the open flows, so the next request of each is lost. An agent now writes its persistent flows under flows/ and resets them when the first heartbeat after its start proves that their target has ended.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -60,6 +60,13 @@
 		"The store was restored from a copy and lacks the target's entry, or holds an older one at this revision. The agent writes "+
 			"the entry again.", "revision", "era")
 
+	RecordedFlowsLost = define(224, logrus.WarnLevel, "recorded flows lost",
+		"The first heartbeat of a new start of the target proves that the flows of the record in the store, written record_ms ago by an "+
+			"earlier agent process, were lost. Resets were sent to their callers, except for the excluded flows, which have been opened again.",
+		"former", "instance", "flows", "excluded", "record_ms")
+	FlowRecordRefused = define(319, logrus.WarnLevel, "flow record refused",
+		"A record of flows in the store cannot be decoded, or is of another agent or service; it is ignored.", "key", "revision", "error")
+
 	ConfigurationApplied = define(410, logrus.InfoLevel, "configuration applied",
 		"A newer version of the routes is in force on this balancer.", "configuration", "routes", "added", "removed", "moved", "revision", "source")
 	ConfigurationRefused = define(411, logrus.ErrorLevel, "configuration refused",
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -101,6 +101,9 @@
 	// appliedRevision is the revision up to which the store's changes are applied, or zero while the complete state is not
 	// known. snapshotRevision is the revision of the last snapshot. Targets that were removed before it may be unknown.
 	appliedRevision, snapshotRevision store.Version
+	// watchedRevision is the revision from which the watch continues. It is above appliedRevision when all changes in between are of
+	// the agents' records of flows, which balancers do not use: they are not announced, so no balancer fetches them.
+	watchedRevision store.Version
 	// isStoreUnavailable is set from a failed call to the store until one succeeds.
 	isStoreUnavailable bool
 	// storeCallStartedAt is the start of the call to the store in progress, or zero.
--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -59,14 +60,15 @@
 	defer w.endCall()
 	var at store.Version
 	var err error
+	isRelevant := true
 	if after == 0 {
 		at, err = w.readInitialState(ctx)
 	} else {
-		at, err = w.awaitChanges(ctx, after)
+		at, isRelevant, err = w.awaitChanges(ctx, after)
 	}
 	switch {
 	case err == nil:
-		w.handleSuccess(at)
+		w.handleSuccess(at, isRelevant)
 		w.recordSettledEra(ctx)
 		return minWatchInterval - time.Since(started)
 	case ctx.Err() != nil:
@@ -90,7 +92,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeCallStartedAt = now
-	return w.appliedRevision
+	if w.appliedRevision == 0 {
+		return 0
+	}
+	return max(w.appliedRevision, w.watchedRevision)
 }
 
 func (w *watcher) endCall() {
@@ -99,13 +104,16 @@
 	w.storeCallStartedAt = time.Time{}
 }
 
-// handleSuccess records that all changes up to a revision are applied.
-func (w *watcher) handleSuccess(at store.Version) {
+// handleSuccess records that all changes up to a revision are applied. isRelevant is set unless all of them are of records of flows.
+func (w *watcher) handleSuccess(at store.Version, isRelevant bool) {
 	w.retry.Reset()
 	w.mu.Lock()
 	wasUnavailable := w.isStoreUnavailable
 	w.storeAnsweredAt, w.isStoreUnavailable = time.Now(), false
-	w.appliedRevision = max(w.appliedRevision, at)
+	w.watchedRevision = max(w.watchedRevision, at)
+	if isRelevant {
+		w.appliedRevision = max(w.appliedRevision, at)
+	}
 	w.mu.Unlock()
 	if wasUnavailable {
 		w.deps.Log.Emit(events.StoreAvailable, events.F("peer", "store"))
@@ -117,7 +125,7 @@
 func (w *watcher) forgetRevision() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.appliedRevision = 0
+	w.appliedRevision, w.watchedRevision = 0, 0
 }
 
 // handleFailure records a failed call and returns the delay before it is retried.
@@ -249,15 +257,19 @@
 	}
 }
 
-// awaitChanges waits for changes after a revision, applies them and returns the revision to continue from.
-func (f *Forwarder) awaitChanges(ctx context.Context, after store.Version) (store.Version, error) {
+// awaitChanges waits for changes after a revision, applies them and returns the revision to continue from. isRelevant is false if all
+// changes are of agents' records of flows. An answer without changes is relevant: the store has passed over changes that it does not
+// report.
+func (f *Forwarder) awaitChanges(ctx context.Context, after store.Version) (at store.Version, isRelevant bool, err error) {
 	changes, at, err := f.deps.Store.Watch(ctx, allKeys, after, maxWatchWait)
 	if err != nil {
-		return after, err
+		return after, false, err
 	}
+	isRelevant = len(changes) == 0 && at > after
 	for _, change := range changes {
+		isRelevant = isRelevant || !strings.HasPrefix(change.Key, registry.FlowsPrefix)
 		f.applyChange(change)
 	}
 	f.updateReadiness()
-	return at, nil
+	return at, isRelevant, nil
 }
--- a/internal/opaque/registry/entry.go
+++ b/internal/opaque/registry/entry.go
@@ -22,6 +22,10 @@
 // ChangesKey is a key that is written together with each entry. Its version is the revision of the last change of any entry.
 const ChangesKey = KeyPrefix + "changes"
 
+// FlowsPrefix is the prefix of the keys of the records of flows (package record). It lies outside KeyPrefix, so that balancers do not
+// list the records. The agent's address follows it.
+const FlowsPrefix = "flows/"
+
 // Entry is what the store holds of one target. It has no lease: it survives outages of the store and power failures, and each
 // balancer decides for itself whether the agent is reachable.
 type Entry struct {
--- a/internal/opaque/resident/flows.go
+++ b/internal/opaque/resident/flows.go
@@ -43,6 +43,8 @@
 	isCallerWaiting, hasRequest, hadFreeSlot bool
 	// finishedEnds has one bit for each end that has sent its last data.
 	finishedEnds uint8
+	// served counts the requests that the target has begun to answer, up to math.MaxUint8.
+	served uint8
 }
 
 const (
@@ -133,6 +135,7 @@
 	f.lastPacketAt, f.isServed = now, f.isOpen
 	if f.isCallerWaiting && (p.Payload > 0 || p.Finishes) {
 		hadSlot := f.hasRequest && f.hadFreeSlot
+		f.countServed()
 		r.setCallerWaiting(f, false)
 		slots := r.target.lastHeartbeat.Slots
 		r.times.recordAnswer(now, now.Sub(f.requestedAt), hadSlot, r.target.isKnown && r.outstandingRequests >= slots, slots)
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -18,6 +18,10 @@
 	// that the agent has declined for that reason. lastAccepted is the age of the last new flow in seconds.
 	evacuatedFlows, lastAccepted tally.Gauge
 	evacuatedDeclined            tally.Counter
+	// recordsWritten counts the records of flows that the store has written, recordResets the flows of records that were reset, and
+	// recordsRefused the records that were ignored. recordFlows is the number of flows in the last written record.
+	recordsWritten, recordResets, recordsRefused tally.Counter
+	recordFlows                                  tally.Gauge
 }
 
 // waitBuckets are the bounds of the histogram of wait times. Opening packets wait for at most 1.2 s (admission.MaxWait).
@@ -32,6 +36,8 @@
 		openingWait:    scope.Histogram("opaque_opening_wait", waitBuckets),
 		evacuatedFlows: scope.Gauge("opaque_evacuated_flows"), lastAccepted: scope.Gauge("opaque_last_accepted_age"),
 		evacuatedDeclined: scope.Counter("opaque_evacuated_declined"),
+		recordsWritten:    scope.Counter("opaque_records_written"), recordResets: scope.Counter("opaque_record_resets"),
+		recordsRefused: scope.Counter("opaque_records_refused"), recordFlows: scope.Gauge("opaque_record_flows"),
 	}
 	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -32,6 +32,10 @@
 	outcome := s.gate.HandleHeartbeat(now, h)
 	if !outcome.IsStale && !outcome.IsUnconfirmed {
 		s.lastHeartbeatAt = now
+		s.records.HandleHeartbeat(now, h)
+		if outcome.HasChanged {
+			s.wakeRecord()
+		}
 	}
 	isComplete := s.gate.IsFlowTableComplete(now)
 	s.updateEntry(outcome.HasChanged)
@@ -215,6 +219,7 @@
 		s.handleStoredEntry(item)
 	default:
 		s.writer.HandleFailedRead(time.Now())
+		s.records.HandleEntryFailure(time.Now())
 		s.handleStoreFailure(err, "read entry")
 	}
 }
@@ -254,6 +259,8 @@
 // handleStoredEntry records the entry that the store holds. The caller holds mu.
 func (s *Sidecar) handleStoredEntry(item store.Item) {
 	s.writer.RecordCall(time.Now())
+	s.records.HandleEntryRead()
+	s.wakeRecord()
 	err := s.writer.HandleRead(item.Value, item.Version)
 	s.updateJoining()
 	if s.writer.IsOutdated() {
@@ -293,9 +300,11 @@
 		s.handleStoredEntry(item)
 	case eris.Is(err, store.ErrRefused):
 		s.writer.HandleUnknownOutcome(time.Now())
+		s.records.HandleEntryFailure(time.Now())
 		s.handleStoreFailure(err, "write entry")
 	default:
 		s.writer.HandleUnresolvedWrite(time.Now(), entry, revision)
+		s.records.HandleEntryFailure(time.Now())
 		s.handleStoreFailure(err, "write entry")
 	}
 }
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -15,10 +15,12 @@
 
 	"gentianswitch/internal/duty"
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/gate"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/readers"
+	"gentianswitch/internal/opaque/record"
 	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/internal/opaque/resident"
 	"gentianswitch/internal/opaque/socket"
@@ -80,6 +82,8 @@
 	counters  counters
 	// entryChanged is signalled when the target's entry has to be written or checked.
 	entryChanged chan struct{}
+	// recordChanged is signalled when the record of the flows may have to be read, or its flows reset.
+	recordChanged chan struct{}
 	// checkDelay is the delay of the check of the entry after a restoration of the store.
 	checkDelay time.Duration
 
@@ -98,6 +102,7 @@
 	isNeverWritten bool
 	// isStoreUnavailable is set from a failed store call until one succeeds.
 	isStoreUnavailable bool
+	records            *record.Machine
 }
 
 // New returns a sidecar. Run starts it.
@@ -106,8 +111,10 @@
 	return &Sidecar{
 		settings: settings, deps: deps, self: self, startedAt: time.Now(), counters: newCounters(deps.Scope),
 		entryChanged: make(chan struct{}, 1), checkDelay: registry.SpreadDelay(self, registry.MaxCheckDelay),
-		hub:  readers.NewHub(),
-		gate: gate.New[[]byte](resident.New(time.Now(), self, settings.Service, settings.FlowLifetime)),
+		recordChanged: make(chan struct{}, 1),
+		records:       record.New(self, desired.ServiceKeyOf(settings.Service), registry.SpreadDelay(self, record.MinWriteInterval)),
+		hub:           readers.NewHub(),
+		gate:          gate.New[[]byte](resident.New(time.Now(), self, settings.Service, settings.FlowLifetime)),
 	}
 }
 
@@ -127,6 +134,7 @@
 	group.Go("announcements", s.serveHeartbeats)
 	group.Go("entry", s.maintainEntry)
 	group.Go("sweep", s.sweepFlows)
+	group.Go("record", s.maintainRecord)
 	group.Go("presence", s.watchTarget)
 	group.Go("openings", s.expirePending)
 	group.Go("stop", func(ctx context.Context) error {
