--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 FUZZ_TARGETS := internal/connid:FuzzDecode internal/packet:FuzzParse internal/envelope:FuzzOpen internal/keys:FuzzParse \
   internal/frame:FuzzRead internal/tables:FuzzParse internal/revision:FuzzDecodeHead internal/revision:FuzzApply \
   internal/opaque/hop:FuzzDecode internal/opaque/hop:FuzzDecodeGroupStatus internal/opaque/handover:FuzzUnpack \
-  internal/opaque/registry:FuzzDecode \
+  internal/opaque/registry:FuzzDecode internal/opaque/record:FuzzDecode \
   platform:FuzzDecodePacket platform:FuzzDecodeConfiguration platform:FuzzHeartbeat
 
 # Benchmarks, their output and its JSON.
