--- a/internal/opaque/sidecar/record.go
+++ b/internal/opaque/sidecar/record.go
@@ -55,9 +55,12 @@
 }
 
 func (s *Sidecar) readRecord(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, recordCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, recordCallTimeout)
 	defer cancel()
-	item, err := s.deps.Store.Read(ctx, record.Key(s.self))
+	item, err := s.deps.Store.Read(callCtx, record.Key(s.self))
+	if ctx.Err() != nil {
+		return
+	}
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,6 +126,9 @@
 		defer cancel()
 		item, err = s.deps.Store.CompareAndSwap(callCtx, record.Key(s.self), replaced, value, "")
 	}
+	if ctx.Err() != nil {
+		return flows
+	}
 	s.handleRecordWritten(started, len(next.Flows), item.Version, err)
 	return flows
 }
--- a/internal/opaque/sidecar/record_test.go
+++ b/internal/opaque/sidecar/record_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 // storeFake holds keys. While isLossy is set, its writes are applied and their answers are lost.
 type storeFake struct {
 	store.WatchableStore
+	mu      sync.Mutex
 	items   map[string]store.Item
 	marks   []string
 	calls   int
@@ -31,6 +33,8 @@
 }
 
 func (f *storeFake) Read(_ context.Context, key string) (store.Item, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.calls++
 	item, ok := f.items[key]
 	if !ok {
@@ -42,6 +46,8 @@
 func (f *storeFake) CompareAndSwap(
 	_ context.Context, key string, version store.Version, value []byte, mark string,
 ) (store.Item, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.calls++
 	if held := f.items[key]; held.Version != version {
 		return held, store.ErrConflict
@@ -126,10 +132,10 @@
 	s.heartbeat(t, now.Add(-time.Second), 1)
 	reopened := callerFlow(40002)
 	s.gate.HandleTargetPacket(now, &flow.Packet{Source: reopened.Address, Destination: reopened.Caller, Accepts: true})
-	s.stepEntry(context.Background())
-	for range 3 {
-		s.stepRecord()
-	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.maintainRecord(ctx) }()
+	s.stepEntry(ctx)
 	for _, f := range []record.Flow{r.Flows[0], r.Flows[2]} {
 		g.Expect(caller.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 		var buffer [100]byte
@@ -140,7 +146,14 @@
 	g.Expect(caller.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
 	_, err = caller.Read(make([]byte, 100))
 	g.Expect(err).To(HaveOccurred(), "one reset for each flow")
-	g.Expect(fake.items[key].Version).To(BeEquivalentTo(8))
+	version := func() store.Version {
+		item, _ := fake.Read(ctx, key)
+		return item.Version
+	}
+	g.Eventually(version).WithTimeout(10 * time.Second).Should(BeEquivalentTo(8))
+	cancel()
+	g.Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+	s.stepRecord()
 	replaced, err := record.Decode(fake.items[key].Value)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(replaced.Flows).To(BeEmpty())
