Balancers report the revision of the last change other than records

Two readers that received the same change with different records after it reported different revisions, and the group fetched the state twice.

--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -58,17 +58,17 @@
 	started := time.Now()
 	after := w.startCall(started)
 	defer w.endCall()
-	var at store.Version
+	var at, applied store.Version
 	var err error
-	isRelevant := true
 	if after == 0 {
 		at, err = w.readInitialState(ctx)
+		applied = at
 	} else {
-		at, isRelevant, err = w.awaitChanges(ctx, after)
+		at, applied, err = w.awaitChanges(ctx, after)
 	}
 	switch {
 	case err == nil:
-		w.handleSuccess(at, isRelevant)
+		w.handleSuccess(at, applied)
 		w.recordSettledEra(ctx)
 		return minWatchInterval - time.Since(started)
 	case ctx.Err() != nil:
@@ -104,16 +104,15 @@
 	w.storeCallStartedAt = time.Time{}
 }
 
-// handleSuccess records that all changes up to a revision are applied. isRelevant is set unless all of them are of records of flows.
-func (w *watcher) handleSuccess(at store.Version, isRelevant bool) {
+// handleSuccess records that all changes up to a revision are applied, and that those after the revision applied are only of records of
+// flows.
+func (w *watcher) handleSuccess(at, applied store.Version) {
 	w.retry.Reset()
 	w.mu.Lock()
 	wasUnavailable := w.isStoreUnavailable
 	w.storeAnsweredAt, w.isStoreUnavailable = time.Now(), false
 	w.watchedRevision = max(w.watchedRevision, at)
-	if isRelevant {
-		w.appliedRevision = max(w.appliedRevision, at)
-	}
+	w.appliedRevision = max(w.appliedRevision, applied)
 	w.mu.Unlock()
 	if wasUnavailable {
 		w.deps.Log.Emit(events.StoreAvailable, events.F("peer", "store"))
@@ -257,19 +256,26 @@
 	}
 }
 
-// awaitChanges waits for changes after a revision, applies them and returns the revision to continue from. isRelevant is false if all
-// changes are of agents' records of flows. An answer without changes is relevant: the store has passed over changes that it does not
-// report.
-func (f *Forwarder) awaitChanges(ctx context.Context, after store.Version) (at store.Version, isRelevant bool, err error) {
+// awaitChanges waits for changes after a revision, applies them and returns the revision to continue from. applied is the revision after
+// which all changes are of agents' records of flows, or zero if all of them are. Two readers that receive the same change with different
+// records after it therefore report the same revision.
+func (f *Forwarder) awaitChanges(ctx context.Context, after store.Version) (at, applied store.Version, err error) {
 	changes, at, err := f.deps.Store.Watch(ctx, allKeys, after, maxWatchWait)
 	if err != nil {
-		return after, false, err
+		return after, 0, err
 	}
-	isRelevant = len(changes) == 0 && at > after
+	last := after
 	for _, change := range changes {
-		isRelevant = isRelevant || !strings.HasPrefix(change.Key, registry.FlowsPrefix)
+		last = max(last, change.Version)
+		if !strings.HasPrefix(change.Key, registry.FlowsPrefix) {
+			applied = max(applied, change.Version)
+		}
 		f.applyChange(change)
 	}
+	if at > last {
+		// The store has passed over changes that it does not report.
+		applied = at
+	}
 	f.updateReadiness()
-	return at, isRelevant, nil
+	return at, applied, nil
 }
