--- a/internal/opaque/forwarder/watch.go
+++ b/internal/opaque/forwarder/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -57,16 +58,17 @@
 	started := time.Now()
 	after := w.startCall(started)
 	defer w.endCall()
-	var at store.Version
+	var at, applied store.Version
 	var err error
 	if after == 0 {
 		at, err = w.readInitialState(ctx)
+		applied = at
 	} else {
-		at, err = w.awaitChanges(ctx, after)
+		at, applied, err = w.awaitChanges(ctx, after)
 	}
 	switch {
 	case err == nil:
-		w.handleSuccess(at)
+		w.handleSuccess(at, applied)
 		w.recordSettledEra(ctx)
 		return minWatchInterval - time.Since(started)
 	case ctx.Err() != nil:
@@ -90,7 +92,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeCallStartedAt = now
-	return w.appliedRevision
+	if w.appliedRevision == 0 {
+		return 0
+	}
+	return max(w.appliedRevision, w.watchedRevision)
 }
 
 func (w *watcher) endCall() {
@@ -99,13 +104,15 @@
 	w.storeCallStartedAt = time.Time{}
 }
 
-// handleSuccess records that all changes up to a revision are applied.
-func (w *watcher) handleSuccess(at store.Version) {
+// handleSuccess records that all changes up to a revision are applied, and that those after the revision applied are only of records of
+// flows.
+func (w *watcher) handleSuccess(at, applied store.Version) {
 	w.retry.Reset()
 	w.mu.Lock()
 	wasUnavailable := w.isStoreUnavailable
 	w.storeAnsweredAt, w.isStoreUnavailable = time.Now(), false
-	w.appliedRevision = max(w.appliedRevision, at)
+	w.watchedRevision = max(w.watchedRevision, at)
+	w.appliedRevision = max(w.appliedRevision, applied)
 	w.mu.Unlock()
 	if wasUnavailable {
 		w.deps.Log.Emit(events.StoreAvailable, events.F("peer", "store"))
@@ -117,7 +124,7 @@
 func (w *watcher) forgetRevision() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.appliedRevision = 0
+	w.appliedRevision, w.watchedRevision = 0, 0
 }
 
 // handleFailure records a failed call and returns the delay before it is retried.
@@ -249,15 +256,26 @@
 	}
 }
 
-// awaitChanges waits for changes after a revision, applies them and returns the revision to continue from.
-func (f *Forwarder) awaitChanges(ctx context.Context, after store.Version) (store.Version, error) {
+// awaitChanges waits for changes after a revision, applies them and returns the revision to continue from. applied is the revision after
+// which all changes are of agents' records of flows, or zero if all of them are. Two readers that receive the same change with different
+// records after it therefore report the same revision.
+func (f *Forwarder) awaitChanges(ctx context.Context, after store.Version) (at, applied store.Version, err error) {
 	changes, at, err := f.deps.Store.Watch(ctx, allKeys, after, maxWatchWait)
 	if err != nil {
-		return after, err
+		return after, 0, err
 	}
+	last := after
 	for _, change := range changes {
+		last = max(last, change.Version)
+		if !strings.HasPrefix(change.Key, registry.FlowsPrefix) {
+			applied = max(applied, change.Version)
+		}
 		f.applyChange(change)
 	}
+	if at > last {
+		// The store has passed over changes that it does not report.
+		applied = at
+	}
 	f.updateReadiness()
-	return at, nil
+	return at, applied, nil
 }
