Cold targets receive a limited number of opening packets

Cause: nothing limited the rate of new flows to a target that has just started, or to the targets of a zone that returns to service.

Change: heartbeats report how long a target stays cold (warmup_left_ms), the configuration the rate that a cold target of a service can handle (warmup_per_s), and pings carry that rate to the agents. The agent delivers new flows to a cold target at the rate with short bursts, and never more than rate x warm-up-excess + warm-up-slack opening packets, copies included, within one second; it stays one packet below that for the spread of arrivals. A cold target at its limit is skipped like a busy one, without ending the search after four targets, and the flow waits at the least loaded one if none has room. After an evacuation the rate of new flows to warm targets grows for 2 s. Without a rate or without settings nothing is limited. Invalid values are logged and mean no limit.

--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -2,11 +2,13 @@
 
 import (
 	"flag"
+	"math"
 	"net/netip"
 	"time"
 
 	"gentianswitch/internal/metrics"
 	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/resident"
 	"gentianswitch/internal/opaque/sidecar"
 	"gentianswitch/internal/program"
 	"gentianswitch/internal/settings"
@@ -35,6 +37,7 @@
 	peer                       netip.AddrPort
 	heartbeat                  time.Duration
 	grace, flowLifetime        time.Duration
+	openingLimit               resident.OpeningLimit
 }
 
 const (
@@ -56,6 +59,10 @@
 	fs.DurationVar(&o.heartbeat, "heartbeat", time.Second, "interval of the target's heartbeats")
 	fs.DurationVar(&o.grace, "grace", defaultGrace, "`time` between the request to stop and the kill of the agent")
 	fs.DurationVar(&o.flowLifetime, "flow-lifetime", flow.Lifetime, "age at which flows may be discarded")
+	fs.Float64Var(&o.openingLimit.Excess, "warm-up-excess", 0,
+		"`factor` of the rate of a cold target that its opening packets within a second may reach; 0 means no limit")
+	fs.Float64Var(&o.openingLimit.Slack, "warm-up-slack", 0,
+		"`number` of opening packets within a second that are allowed beyond warm-up-excess")
 	settings.AddrPortVar(fs, &o.peer, "peer",
 		"IPv4 `ip:port` whose port is the one at which balancers receive frames; the IP is not used")
 }
@@ -76,6 +83,12 @@
 	if o.flowLifetime < minFlowLifetime {
 		return common.MissingError("flow-lifetime", "at least "+minFlowLifetime.String())
 	}
+	if !isFactor(o.openingLimit.Excess) {
+		return common.MissingError("warm-up-excess", "a number that is not negative")
+	}
+	if !isFactor(o.openingLimit.Slack) {
+		return common.MissingError("warm-up-slack", "a number that is not negative")
+	}
 	for _, a := range []struct {
 		name  string
 		value netip.AddrPort
@@ -87,11 +100,14 @@
 	return nil
 }
 
+// isFactor reports whether a setting is a finite number that is not negative.
+func isFactor(value float64) bool { return value >= 0 && !math.IsInf(value, 1) }
+
 func (o *opaqueOptions) newProcess(parts program.Dependencies) (program.Process, error) {
 	s := sidecar.Settings{
 		Data: parts.Common.Data, Outbound: o.outbound, Target: o.target, Announce: o.announce,
 		PeerPort: o.peer.Port(), Service: o.service, Heartbeat: o.heartbeat,
-		Grace: o.grace, FlowLifetime: o.flowLifetime,
+		Grace: o.grace, FlowLifetime: o.flowLifetime, OpeningLimit: o.openingLimit,
 	}
 	return program.NewKeylessProcess(sidecar.New(s, sidecar.Dependencies{
 		Codec:               platform.PacketCodec{},
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -46,7 +46,8 @@
 			"flows of the target.",
 		"instance", "started", "sequence", "service", "slots", "draining", "complete")
 	TargetHeartbeatRefused = define(313, logrus.WarnLevel, "target heartbeat refused",
-		"A heartbeat is malformed, comes from another target, or is older than the latest one; it is ignored.",
+		"A heartbeat is malformed, comes from another target, or is older than the latest one; it is ignored. A field that the error "+
+			"names is ignored alone.",
 		"instance", "error")
 	TargetLeft = define(314, logrus.InfoLevel, "target left",
 		"The target has shut down as planned.", "instance")
@@ -72,6 +73,9 @@
 			"again, on its targets. Open flows stay.", "zone", "evacuated", "targets", "revision", "era")
 	EvacuationRefused = define(420, logrus.WarnLevel, "evacuation refused",
 		"The evacuation of an availability zone cannot be recorded; it is ignored.", "revision", "error")
+	ColdRatesRefused = define(422, logrus.WarnLevel, "warm-up rates refused",
+		"The configuration contains invalid values of warmup_per_s: cold targets of these services have no limit. The routes are in force.",
+		"configuration", "services")
 	TargetEvacuation = define(421, logrus.InfoLevel, "target evacuation",
 		"The agent starts or stops declining new flows, since the availability zone of its target is evacuated or returned to service. "+
 			"Its target still has this many open flows, and accepted the last new flow accepted_ms ago; -1 means never.",
--- a/internal/opaque/desired/desired.go
+++ b/internal/opaque/desired/desired.go
@@ -45,13 +45,31 @@
 	routes  map[flow.Endpoint]*Route
 	// mostUrgentPriority is the lowest Priority of all routes.
 	mostUrgentPriority uint8
+	// coldRates are the services whose cold targets have a limit.
+	coldRates map[ServiceKey]float64
+	// InvalidRates counts the services whose limit of cold targets could not be decoded. They have none.
+	InvalidRates int
 }
 
 // NewTable returns a table without routes.
 func NewTable(version uint64) *Table {
-	return &Table{Version: version, routes: make(map[flow.Endpoint]*Route), mostUrgentPriority: math.MaxUint8}
+	return &Table{
+		Version: version, routes: make(map[flow.Endpoint]*Route), mostUrgentPriority: math.MaxUint8,
+		coldRates: make(map[ServiceKey]float64),
+	}
 }
 
+// SetColdRate sets the number of requests per second that a cold target of a service can handle. It is called only while the table is
+// being built. A rate that is not positive means no limit.
+func (t *Table) SetColdRate(service ServiceKey, rate float64) {
+	if rate > 0 {
+		t.coldRates[service] = rate
+	}
+}
+
+// ColdRate returns the number of requests per second that a cold target of a service can handle, or 0 if there is no limit.
+func (t *Table) ColdRate(service ServiceKey) float64 { return t.coldRates[service] }
+
 // AddRoute adds the route of an address. It is called only while the table is being built.
 func (t *Table) AddRoute(address flow.Endpoint, route *Route) {
 	t.routes[address] = route
--- a/internal/opaque/forwarder/entries.go
+++ b/internal/opaque/forwarder/entries.go
@@ -88,6 +88,10 @@
 			events.F("known", known.Version), events.F("source", source))
 		return
 	}
+	if table.InvalidRates > 0 {
+		f.counters.coldRatesRefused.Inc(int64(table.InvalidRates))
+		f.deps.Log.Emit(events.ColdRatesRefused, events.F("configuration", table.Version), events.F("services", table.InvalidRates))
+	}
 	difference := known.Compare(table)
 	f.deps.Log.Emit(events.ConfigurationApplied, events.F("configuration", table.Version),
 		events.F("routes", table.Len()), events.F("added", difference.Added), events.F("removed", difference.Removed),
--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -218,26 +219,45 @@
 	f.mu.Lock()
 	pings, changes := f.directory.Tick(now)
 	f.updateView()
-	evacuations := make([]desired.Evacuation, len(pings))
-	for i, ping := range pings {
-		evacuations[i] = f.evacuationOf(ping.Agent)
-	}
 	f.mu.Unlock()
 	for _, change := range changes {
 		f.logTarget(change)
 	}
 	var buffer [hop.MaxGroupStatusFrame]byte
 	hubStatus := f.balancerStatus(now)
+	// The rates are read after the version of the configuration, so that agents never keep a rate of an older one for that version.
+	evacuations, coldRates := make([]desired.Evacuation, len(pings)), make([]uint16, len(pings))
+	f.mu.Lock()
+	for i, ping := range pings {
+		evacuations[i], coldRates[i] = f.evacuationOf(ping.Agent), f.coldRateOf(ping.Agent)
+	}
+	f.mu.Unlock()
 	for i, ping := range pings {
 		status := hubStatus
 		if !ping.IsToHub {
 			status = hop.BalancerStatus{Configuration: hubStatus.Configuration, Revision: hubStatus.Revision}
 		}
 		status.Evacuation, status.IsEvacuated = uint64(evacuations[i].Version), evacuations[i].IsEvacuated
+		status.ColdRate = coldRates[i]
 		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
 		f.sendToAgent(ping.Agent, h.Append(status.Append(buffer[:0])))
 	}
 }
 
+// coldRateOf returns the number of requests per second that a cold target of an agent's service can handle, or 0 if there is no limit. A
+// fraction is cut off, because agents must not exceed the bound that follows from the configured rate. The caller holds mu.
+func (f *Forwarder) coldRateOf(agent hop.IP) uint16 {
+	target, isKnown := f.directory.Lookup(agent)
+	table := f.steer.Table()
+	if !isKnown || table == nil {
+		return 0
+	}
+	rate := table.ColdRate(desired.ServiceKeyOf(target.Entry.Service))
+	if rate <= 0 {
+		return 0
+	}
+	return uint16(min(max(rate, 1), math.MaxUint16))
+}
+
 // updateView passes the current view of the targets to the state machine steer. The caller holds mu.
 func (f *Forwarder) updateView() { f.steer.SetView(f.directory.View()) }
--- a/internal/opaque/forwarder/ping_test.go
+++ b/internal/opaque/forwarder/ping_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"gentianswitch/internal/events"
+	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/internal/store"
@@ -33,7 +34,7 @@
 }
 
 // Guards against agents that notice a restored store late or never: only those through which balancers exchange their status
-// were told up to which version balancers have applied its changes.
+// were told up to which version balancers have applied its changes. The rate of cold targets has to reach every agent, too.
 func TestEveryPingContainsTheVersionOfTheView(t *testing.T) {
 	g := NewWithT(t)
 	sockets, port := listenAsAgents(t)
@@ -44,6 +45,9 @@
 	defer f.close()
 	now := time.Now()
 	f.appliedRevision = store.Version(18).InEra(3)
+	table := desired.NewTable(7)
+	table.SetColdRate(desired.ServiceKeyOf("pedidos"), 40)
+	f.steer.SetTable(now, table)
 	for n := range byte(agentCount) {
 		agent := hop.IP{127, 30, 0, n + 2}
 		f.directory.HandleEntry(now, agent, registry.Entry{Service: "pedidos", Slots: 5}, store.Version(n+1).InEra(3))
@@ -62,5 +66,6 @@
 		status, err := hop.DecodeBalancerStatus(body)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(store.Version(status.Revision)).To(Equal(store.Version(18).InEra(3)))
+		g.Expect(status.ColdRate).To(BeEquivalentTo(40))
 	}
 }
--- a/internal/opaque/forwarder/report.go
+++ b/internal/opaque/forwarder/report.go
@@ -21,6 +21,7 @@
 	malformed, sendFailed     tally.Counter
 	located, pendingDropped   tally.Counter
 	evacuationsRefused        tally.Counter
+	coldRatesRefused          tally.Counter
 	configuration, storeAge   tally.Gauge
 	unsettled                 tally.Gauge
 	targets                   [directory.Gone + 1]tally.Gauge
@@ -40,6 +41,7 @@
 		malformed:          scope.Counter("opaque_malformed"),
 		sendFailed:         scope.Counter("opaque_send_failed"),
 		evacuationsRefused: scope.Counter("opaque_evacuations_refused"),
+		coldRatesRefused:   scope.Counter("opaque_cold_rates_refused"),
 		located:            scope.Counter("opaque_located"), pendingDropped: scope.Counter("opaque_held_dropped"),
 		configuration: scope.Gauge("opaque_configuration"), storeAge: scope.Gauge("opaque_store_age"),
 		unsettled:       scope.Gauge("opaque_unsettled"),
--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -75,9 +75,9 @@
 }
 
 // Next removes and returns the opening packet that the target gets next. It reports false when none waits or the target has no
-// room.
+// room or may receive no further opening packet for now.
 func (g *Gate[T]) Next(now time.Time) (Released[T], bool) {
-	if g.pending.Len() == 0 || !g.hasRoomAfterSweep(now) {
+	if g.pending.Len() == 0 || g.IsAtOpeningLimit(now) || !g.hasRoomAfterSweep(now) {
 		return Released[T]{}, false
 	}
 	next, _ := g.pending.Pop(now)
@@ -94,7 +94,7 @@
 }
 
 // NextExpired removes and returns an opening packet that has reached its wait limit. It is delivered when the target can still
-// answer within the objective, because a caller whose flow is open continues to wait. Otherwise it is returned to the balancer.
+// answer within the objective, because a caller whose flow is open continues to wait, and may receive an opening packet. Otherwise it is returned to the balancer.
 // NextExpired reports false when there is none.
 func (g *Gate[T]) NextExpired(now time.Time) (Released[T], bool) {
 	expired, ok := g.pending.PopExpired(now)
@@ -102,7 +102,7 @@
 		return Released[T]{}, false
 	}
 	h := &expired.Item.header
-	if left := expired.Urgency.Objective - admission.MaxWait; g.CanAnswerWithin(left) {
+	if left := expired.Urgency.Objective - admission.MaxWait; g.CanAnswerWithin(left) && !g.IsAtOpeningLimit(now) {
 		return newReleased(now, &expired, g.AdmitPending(now, expired.ID, h)), true
 	}
 	return g.refuse(now, &expired), true
--- a/internal/opaque/resident/opening.go
+++ b/internal/opaque/resident/opening.go
@@ -28,11 +28,16 @@
 	if reason != Accepting {
 		return decline(h, reason)
 	}
-	if !h.MustAccept && r.isBusy(now) {
-		if d, isElsewhere := r.skipBusyTarget(h); isElsewhere {
+	isAtLimit := r.IsAtOpeningLimit(now)
+	if !h.MustAccept && (isAtLimit || r.isBusy(now)) {
+		if d, isElsewhere := r.skipBusyTarget(h, isAtLimit); isElsewhere {
 			return d
 		}
 	}
+	// While the rate is limited, new flows wait behind those that wait already.
+	if isAtLimit || r.pendingFlows > 0 && r.openingRate(now) > 0 {
+		return Decision{Verdict: Wait, Reason: Cold, Header: *h, NotifyOrigin: h.Hops > 0}
+	}
 	if r.mustWait(now, h) {
 		return Decision{Verdict: Wait, Reason: Busy, Header: *h, NotifyOrigin: h.Hops > 0}
 	}
@@ -65,18 +70,28 @@
 
 // skipBusyTarget redirects an opening packet from a busy target to the next candidate. After maxBusyTargets busy targets, or
 // when no candidate is left, the packet goes to the least loaded of them. It reports false when that is this target.
-func (r *Machine) skipBusyTarget(h *hop.Header) (Decision, bool) {
-	if load := r.relativeLoad(); h.BusyCount == 0 || load < h.LowestLoad {
+//
+// A target at the limit of its opening packets is skipped in the same way, but counts as busy only if it is the first one: warm targets
+// among the remaining candidates may have room.
+func (r *Machine) skipBusyTarget(h *hop.Header, isAtLimit bool) (Decision, bool) {
+	reason, load := Busy, r.relativeLoad()
+	if isAtLimit {
+		// Its free slots are of no use to the packet, so none counts as free, nor those of a target whose slots are not known.
+		reason, load = Cold, max(load, r.loadOf(r.pendingFlows+max(r.target.lastHeartbeat.Slots, 1)))
+	}
+	if h.BusyCount == 0 || load < h.LowestLoad {
 		h.LeastLoaded, h.LowestLoad = r.self, load
 	}
-	h.BusyCount++
-	if h.BusyCount < maxBusyTargets && h.CandidateCount > 0 {
-		return decline(h, Busy), true
+	if !isAtLimit || h.BusyCount == 0 {
+		h.BusyCount++
+	}
+	if (isAtLimit || h.BusyCount < maxBusyTargets) && h.CandidateCount > 0 {
+		return decline(h, reason), true
 	}
 	if h.LeastLoaded == r.self {
 		return Decision{}, false
 	}
-	return sendToLeastLoaded(h, Busy), true
+	return sendToLeastLoaded(h, reason), true
 }
 
 // sendToLeastLoaded returns the decision that sends an opening packet to the least loaded of the busy targets, which must
@@ -94,17 +109,26 @@
 	if !r.target.isKnown {
 		return 0
 	}
-	return uint8(min((r.waitingFlows+r.pendingFlows)*fullLoad/max(r.target.lastHeartbeat.Slots, 1), math.MaxUint8))
+	return r.loadOf(r.waitingFlows + r.pendingFlows)
+}
+
+// loadOf returns the relative load of the target with a number of flows.
+func (r *Machine) loadOf(flows int) uint8 {
+	return uint8(min(flows*fullLoad/max(r.target.lastHeartbeat.Slots, 1), math.MaxUint8))
 }
 
 // SetPendingCount sets the number of opening packets that wait at the agent for room at the target.
 func (r *Machine) SetPendingCount(count int) { r.pendingFlows = count }
 
-// AdmitPending returns the decision for an opening packet that has waited for room and may be delivered now.
+// AdmitPending returns the decision for an opening packet that has waited for room and may be delivered now. At the limit of opening
+// packets it is declined; the caller checks IsAtOpeningLimit before, so that the packet keeps waiting instead.
 func (r *Machine) AdmitPending(now time.Time, id flow.ID, h *hop.Header) Decision {
 	if reason := r.target.declineReason(now); reason != Accepting {
 		return decline(h, reason)
 	}
+	if r.IsAtOpeningLimit(now) {
+		return decline(h, Cold)
+	}
 	return r.deliverOpening(now, id, h)
 }
 
@@ -112,6 +136,7 @@
 // flows does not find more room than there is.
 func (r *Machine) deliverOpening(now time.Time, id flow.ID, h *hop.Header) Decision {
 	r.target.recordOpening(now)
+	r.recordOpeningDelivery(now)
 	r.ensureFlow(now, id)
 	return Decision{Verdict: Deliver, Mark: r.recordDelivery(h), NotifyOrigin: h.Hops > 0}
 }
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -68,13 +68,15 @@
 	Joining
 	// Evacuated means that the target accepts no new flow because its availability zone is evacuated.
 	Evacuated
+	// Cold means that the target, which has just started or returned to service, has received as many opening packets as it may for now.
+	Cold
 )
 
 // String returns the name that metrics and logs use.
 func (r Reason) String() string {
 	return [...]string{
 		"accepting", "held", "other_service", "draining", "absent", "silent", "bounced", "stale_mark", "busy", "forgotten",
-		"not_held", "stopping", "joining", "evacuated",
+		"not_held", "stopping", "joining", "evacuated", "cold",
 	}[r]
 }
 
@@ -136,6 +138,12 @@
 	waitingFlows, outstandingRequests, pendingFlows int
 	lastSweepAt                                     time.Time
 	times                                           serviceTimes
+	// openings limits the opening packets that the target receives while it is cold, and for rampDuration after rampStartedAt. coldRate
+	// is the number of requests per second that a cold target can handle, or 0, in the configuration of coldRateVersion.
+	openings        openingLimiter
+	coldRate        uint16
+	coldRateVersion uint64
+	rampStartedAt   time.Time
 }
 
 // New returns the machine of an agent that starts now at the address self, beside a target of the named service. Flows older
@@ -167,6 +175,13 @@
 	if f == nil && r.IsFlowTableComplete(now) {
 		return decline(h, FlowNotHeld)
 	}
+	if f != nil && p.Opens {
+		if !r.canDeliverCopy(now) {
+			// The target has the flow already. The caller repeats the packet if it gets no answer.
+			return Decision{Verdict: Drop, Reason: Cold}
+		}
+		r.recordOpeningDelivery(now)
+	}
 	d := Decision{Verdict: Deliver, Mark: r.recordDelivery(h)}
 	if f != nil {
 		d.Reason = FlowHeld
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -37,6 +37,8 @@
 	// Slots is the number of requests that the target runs at once.
 	Slots      int
 	IsDraining bool
+	// WarmupLeft is how long the target stays cold, or 0 if it is not cold.
+	WarmupLeft time.Duration
 }
 
 // target is what the agent knows about its target.
@@ -72,6 +74,8 @@
 	isEvacuated bool
 	// acceptedAt is when the target last accepted a new flow.
 	acceptedAt time.Time
+	// coldUntil is when the target will be warm, as far as its heartbeats say.
+	coldUntil time.Time
 	// successors are other incarnations that may have replaced the known one, and replaced are those that others have replaced.
 	successors []successor
 	replaced   []incarnation
@@ -142,6 +146,7 @@
 	case isNew:
 		var hasReplaced bool
 		if next, hasReplaced = t.findSuccessor(h); !hasReplaced {
+			t.extendColdness(now, h)
 			return Outcome{IsUnconfirmed: true}
 		}
 	case t.isKnown && !isNew && h.Sequence <= t.lastHeartbeat.Sequence:
@@ -162,11 +167,20 @@
 	t.recordHeard(isNew || !t.isKnown, h.Sequence)
 	before, previousInstance := r.Entry(), t.lastHeartbeat.Instance
 	t.lastHeartbeat, t.heartbeatAt, t.isKnown, t.hasLeft, t.hasTimedOut = h, now, true, false, false
+	t.coldUntil = now.Add(h.WarmupLeft)
 	t.resetSuccessorTicks()
 	t.recordSignOfLife()
 	return Outcome{HasChanged: before != r.Entry(), EndedFlows: ended, PreviousInstance: previousInstance}
 }
 
+// extendColdness records a heartbeat that is otherwise ignored, because it may be of an earlier incarnation. It may also be of a cold
+// successor, whose VM's clock was set back. Treating a warm target as cold for a few seconds does little harm.
+func (t *target) extendColdness(now time.Time, h Heartbeat) {
+	if until := now.Add(h.WarmupLeft); h.WarmupLeft > 0 && until.After(t.coldUntil) {
+		t.coldUntil = until
+	}
+}
+
 // instanceAt returns the instance of the target at a time, as far as the agent knew it then.
 func (t *target) instanceAt(at time.Time) string {
 	if at.Before(t.instanceChangedAt) {
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -18,6 +18,10 @@
 	// that the agent has declined for that reason. lastAccepted is the age of the last new flow in seconds.
 	evacuatedFlows, lastAccepted tally.Gauge
 	evacuatedDeclined            tally.Counter
+	// warmupLeft is how many seconds the target stays cold, and coldSkipped counts the opening packets that it did not receive at once
+	// because of its limit.
+	warmupLeft  tally.Gauge
+	coldSkipped tally.Counter
 }
 
 // waitBuckets are the bounds of the histogram of wait times. Opening packets wait for at most 1.2 s (admission.MaxWait).
@@ -32,6 +36,7 @@
 		openingWait:    scope.Histogram("opaque_opening_wait", waitBuckets),
 		evacuatedFlows: scope.Gauge("opaque_evacuated_flows"), lastAccepted: scope.Gauge("opaque_last_accepted_age"),
 		evacuatedDeclined: scope.Counter("opaque_evacuated_declined"),
+		warmupLeft:        scope.Gauge("opaque_warmup_left"), coldSkipped: scope.Counter("opaque_cold_skipped"),
 	}
 	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
--- a/internal/opaque/sidecar/packets.go
+++ b/internal/opaque/sidecar/packets.go
@@ -90,8 +90,11 @@
 // applyDecision sends a datagram as decided, and counts the decision. A packet that is dropped or queued is only counted.
 func (s *Sidecar) applyDecision(p *flow.Packet, d resident.Decision, datagram []byte) {
 	s.counters.verdict(d.Verdict).Inc(1)
-	if d.Reason == resident.Evacuated {
+	switch d.Reason {
+	case resident.Evacuated:
 		s.counters.evacuatedDeclined.Inc(1)
+	case resident.Cold:
+		s.counters.coldSkipped.Inc(1)
 	}
 	switch d.Verdict {
 	case resident.Deliver:
--- a/internal/opaque/sidecar/ping.go
+++ b/internal/opaque/sidecar/ping.go
@@ -26,6 +26,7 @@
 	}
 	s.handleBalancerEra(now, store.Version(status.Revision).Era())
 	s.handleEvacuation(now, status)
+	s.handleColdRate(now, status)
 	update := s.hub.HandleStatus(now, h.Origin, status)
 	groupStatus := hop.GroupStatus{Configuration: s.newestConfiguration, Uptime: now.Sub(s.startedAt)}
 	if status.Group != 0 {
@@ -49,6 +50,9 @@
 func (s *Sidecar) handleEvacuation(now time.Time, status hop.BalancerStatus) {
 	s.mu.Lock()
 	hasChanged := s.gate.SetEvacuation(status.Evacuation, status.IsEvacuated)
+	if hasChanged && !status.IsEvacuated {
+		s.gate.StartRamp(now)
+	}
 	flows, acceptedAt := s.gate.FlowCount(), s.gate.LastAcceptedAt()
 	s.mu.Unlock()
 	if !hasChanged {
@@ -60,3 +64,10 @@
 		s.redirectPending(resident.Evacuated)
 	}
 }
+
+// handleColdRate records the number of requests per second that a cold target can handle, as a balancer reports it.
+func (s *Sidecar) handleColdRate(now time.Time, status hop.BalancerStatus) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.SetColdRate(now, status.Configuration.Version, status.ColdRate)
+}
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -46,6 +46,8 @@
 	Grace time.Duration
 	// FlowLifetime is the age from which flows may be discarded.
 	FlowLifetime time.Duration
+	// OpeningLimit bounds the opening packets that a cold target receives.
+	OpeningLimit resident.OpeningLimit
 }
 
 // HeartbeatHandler handles what the target reports about itself. Sidecar implements it.
@@ -103,12 +105,14 @@
 // New returns a sidecar. Run starts it.
 func New(settings Settings, deps Dependencies) *Sidecar {
 	self := hop.IP(settings.Data.Addr().As4())
-	return &Sidecar{
+	s := &Sidecar{
 		settings: settings, deps: deps, self: self, startedAt: time.Now(), counters: newCounters(deps.Scope),
 		entryChanged: make(chan struct{}, 1), checkDelay: registry.SpreadDelay(self, registry.MaxCheckDelay),
 		hub:  readers.NewHub(),
 		gate: gate.New[[]byte](resident.New(time.Now(), self, settings.Service, settings.FlowLifetime)),
 	}
+	s.gate.SetOpeningLimit(settings.OpeningLimit)
+	return s
 }
 
 // Run serves until stopping is canceled, and after that until the agent may shut down or the grace time is nearly over. A
@@ -196,6 +200,7 @@
 		s.gate.Sweep(now)
 		flows, waiting := s.gate.FlowCount(), s.gate.PendingCount()
 		isEvacuated, acceptedAt := s.gate.IsEvacuated(), s.gate.LastAcceptedAt()
+		warmupLeft := s.gate.WarmupLeft(now)
 		s.mu.Unlock()
 		evacuatedFlows := 0
 		if isEvacuated {
@@ -205,6 +210,7 @@
 		if !acceptedAt.IsZero() {
 			s.counters.lastAccepted.Update(now.Sub(acceptedAt).Seconds())
 		}
+		s.counters.warmupLeft.Update(warmupLeft.Seconds())
 		s.counters.flows.Update(float64(flows))
 		s.counters.waiting.Update(float64(waiting))
 	})
