--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -87,6 +87,8 @@
 	// priority of the route and that of the most urgent route. Both are set in frames that carry an opening packet.
 	Objective      uint16
 	PriorityOffset uint8
+	// RunsOnce is set in frames that carry an opening packet of a route whose requests must not run twice.
+	RunsOnce bool
 	// CandidatesTried counts the candidates of this frame and of the earlier frames of the search. When the frame returns, the
 	// search continues behind them.
 	CandidatesTried uint8
@@ -107,6 +109,9 @@
 	kindMask       = 0x0f
 )
 
+// runsOnceBit is a flag in the byte of the busy count, which is at most MaxCandidates.
+const runsOnceBit = 0x80
+
 // ErrMalformed means that a datagram is not a valid frame.
 var ErrMalformed = eris.New("malformed frame")
 
@@ -138,8 +143,12 @@
 	if h.IsDuplicate {
 		kind |= duplicateBit
 	}
+	busy := h.BusyCount
+	if h.RunsOnce {
+		busy |= runsOnceBit
+	}
 	frame = append(frame, h.LeastLoaded[:]...)
-	return append(frame, h.LowestLoad, h.BusyCount, h.PriorityOffset, h.CandidatesTried, h.Hops, h.CandidateCount, kind)
+	return append(frame, h.LowestLoad, busy, h.PriorityOffset, h.CandidatesTried, h.Hops, h.CandidateCount, kind)
 }
 
 // Decode decodes the trailer of a frame into h and returns the body before it.
@@ -153,7 +162,7 @@
 	h.Sequence = binary.BigEndian.Uint16(fixed[12:14])
 	h.Epoch, h.Objective = binary.BigEndian.Uint16(fixed[14:16]), binary.BigEndian.Uint16(fixed[16:18])
 	copy(h.LeastLoaded[:], fixed[18:22])
-	h.LowestLoad, h.BusyCount = fixed[22], fixed[23]
+	h.LowestLoad, h.BusyCount, h.RunsOnce = fixed[22], fixed[23]&^runsOnceBit, fixed[23]&runsOnceBit != 0
 	h.PriorityOffset, h.CandidatesTried, h.Hops, h.CandidateCount = fixed[24], fixed[25], fixed[26], fixed[27]
 	kind := fixed[28]
 	h.Kind = Kind(kind & kindMask)
--- a/internal/opaque/record/machine.go
+++ b/internal/opaque/record/machine.go
@@ -81,8 +81,12 @@
 	return &Machine{agent: agent, service: service, spread: spread, isStoredKnown: true}
 }
 
-// HandleEntryRead records that the agent has read the entry of its target. The record is read after it.
-func (m *Machine) HandleEntryRead() { m.isReadAllowed = true }
+// HandleEntryRead records that the agent has read the entry of its target. The record is read after it. Without an entry no other agent
+// process has run here before, so there is no record to read.
+func (m *Machine) HandleEntryRead(hasEntry bool) {
+	m.isReadAllowed = true
+	m.isReadDone = m.isReadDone || !hasEntry
+}
 
 // IsReadDue reports whether the record has to be read now.
 func (m *Machine) IsReadDue(now time.Time) bool {
--- a/internal/opaque/resident/flows.go
+++ b/internal/opaque/resident/flows.go
@@ -45,6 +45,8 @@
 	finishedEnds uint8
 	// served counts the requests that the target has begun to answer, up to math.MaxUint8.
 	served uint8
+	// runsOnce is set if the requests of the flow must not run twice.
+	runsOnce bool
 }
 
 const (
--- a/internal/opaque/resident/persistent.go
+++ b/internal/opaque/resident/persistent.go
@@ -11,7 +11,8 @@
 // it, and loses one if the flow ends unnoticed.
 const minServedRequests = 2
 
-// PersistentFlow is an open flow on which the target has answered several requests.
+// PersistentFlow is an open flow on which the target has answered several requests that must not run twice. Callers repeat other requests
+// after any failure, so their flows need no record.
 type PersistentFlow struct {
 	ID flow.ID
 	// AcceptedAt is when the target accepted the flow, and UsedAt when its last packet was handled.
@@ -30,7 +31,7 @@
 // AppendPersistentFlows appends the persistent flows that neither end has finished, in no order.
 func (r *Machine) AppendPersistentFlows(flows []PersistentFlow) []PersistentFlow {
 	for id, f := range r.flows {
-		if f.isOpen && f.served >= minServedRequests && f.finishedEnds == 0 {
+		if f.isOpen && f.runsOnce && f.served >= minServedRequests && f.finishedEnds == 0 {
 			flows = append(flows, PersistentFlow{
 				ID: id, AcceptedAt: f.acceptedAt, UsedAt: f.lastPacketAt, Acknowledged: f.acknowledged,
 			})
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -22,6 +22,10 @@
 	// recordsRefused the records that were ignored. recordFlows is the number of flows in the last written record.
 	recordsWritten, recordResets, recordsRefused tally.Counter
 	recordFlows                                  tally.Gauge
+	// warmupLeft is how many seconds the target stays cold, and coldSkipped counts the opening packets that it did not receive at once
+	// because of its limit.
+	warmupLeft  tally.Gauge
+	coldSkipped tally.Counter
 }
 
 // waitBuckets are the bounds of the histogram of wait times. Opening packets wait for at most 1.2 s (admission.MaxWait).
@@ -38,6 +42,7 @@
 		evacuatedDeclined: scope.Counter("opaque_evacuated_declined"),
 		recordsWritten:    scope.Counter("opaque_records_written"), recordResets: scope.Counter("opaque_record_resets"),
 		recordsRefused: scope.Counter("opaque_records_refused"), recordFlows: scope.Gauge("opaque_record_flows"),
+		warmupLeft: scope.Gauge("opaque_warmup_left"), coldSkipped: scope.Counter("opaque_cold_skipped"),
 	}
 	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -259,7 +259,7 @@
 // handleStoredEntry records the entry that the store holds. The caller holds mu.
 func (s *Sidecar) handleStoredEntry(item store.Item) {
 	s.writer.RecordCall(time.Now())
-	s.records.HandleEntryRead()
+	s.records.HandleEntryRead(item.Version.Revision() > 0)
 	s.wakeRecord()
 	err := s.writer.HandleRead(item.Value, item.Version)
 	s.updateJoining()
--- a/internal/opaque/sidecar/record_test.go
+++ b/internal/opaque/sidecar/record_test.go
@@ -16,6 +16,7 @@
 	"gentianswitch/internal/events"
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
+	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/record"
 	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/internal/opaque/resident"
@@ -60,6 +61,14 @@
 	return f.items[key], nil
 }
 
+// putEntry writes the entry of an earlier agent process.
+func (f *storeFake) putEntry(t *testing.T, agent hop.IP) {
+	t.Helper()
+	value, err := registry.Entry{Service: "pedidos", Slots: 3}.Encode()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	f.items[registry.Key(agent)] = store.Item{Key: registry.Key(agent), Value: value, Version: 3}
+}
+
 // resetCodec encodes only resets: the flow and the sequence number.
 type resetCodec struct{ flow.Codec }
 
@@ -126,6 +135,7 @@
 	value, err := r.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
 	fake.items[key] = store.Item{Key: key, Value: value, Version: 7}
+	fake.putEntry(t, s.self)
 
 	s.stepRecord()
 	g.Expect(fake.calls).To(BeZero(), "the entry is read first")
@@ -168,6 +178,7 @@
 	s, _ := newSidecar(t, fake)
 	key := record.Key(s.self)
 	fake.items[key] = store.Item{Key: key, Value: []byte("no record"), Version: 7}
+	fake.putEntry(t, s.self)
 	started := time.Now().Add(-time.Minute)
 	for n := range int64(3) {
 		s.heartbeat(t, started, 5+n)
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -190,6 +190,7 @@
 func (s *Machine) setPriority(d *Decision, p *flow.Packet) {
 	if p.Opens {
 		d.Header.PriorityOffset = s.table.PriorityOffset(d.Route)
+		d.Header.RunsOnce = d.Route.RunsOnce
 		d.Header.Objective = uint16(min(d.Route.Objective.Milliseconds(), math.MaxUint16))
 	}
 }
