End the flows of a lost target at the first proof

Cause: an agent reset the flows of a target that had stopped only with the first heartbeat of the next incarnation or after 2.5 intervals of silence. Requests that callers sent on these flows until then were lost.

Change, in package resident: - A bounced request of a flow that the target answered in the last 5 s, and that neither end has finished, proves that its incarnation has ended. All served flows are reset that were accepted by the last answer of that incarnation, except those on which the target has sent data since the bounced packet was delivered. - While a heartbeat is overdue by a quarter of an interval, a refused TCP connection to the target proves that no process listens (StartProbe, HandleProbeResult; the sidecar connects). The setting probe-target of the agent asks for it, since a target without a TCP listener refuses while it runs. Refusals of datagrams are no candidate: the socket is not connected, and the VM bounces packets of a target that has stopped. - Marks start at the time of the start, so that a bounce of an earlier agent process has a stale mark. - notifiedAt is kept as a duration, so that a flow entry with the new fields has the same size class as before.

--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -35,6 +35,7 @@
 	peer                       netip.AddrPort
 	heartbeat                  time.Duration
 	grace, flowLifetime        time.Duration
+	probesTarget               bool
 }
 
 const (
@@ -54,6 +55,8 @@
 	settings.AddrPortVar(fs, &o.outbound, "outbound", "IPv4 `ip:port` that receives the packets of the target")
 	settings.AddrPortVar(fs, &o.announce, "announce", "IPv4 `ip:port` that receives the heartbeats of the target")
 	fs.DurationVar(&o.heartbeat, "heartbeat", time.Second, "interval of the target's heartbeats")
+	fs.BoolVar(&o.probesTarget, "probe-target", false,
+		"the target also listens for TCP connections at its address; a refused one ends its flows while a heartbeat is overdue")
 	fs.DurationVar(&o.grace, "grace", defaultGrace, "`time` between the request to stop and the kill of the agent")
 	fs.DurationVar(&o.flowLifetime, "flow-lifetime", flow.Lifetime, "age at which flows may be discarded")
 	settings.AddrPortVar(fs, &o.peer, "peer",
@@ -91,7 +94,7 @@
 	s := sidecar.Settings{
 		Data: parts.Common.Data, Outbound: o.outbound, Target: o.target, Announce: o.announce,
 		PeerPort: o.peer.Port(), Service: o.service, Heartbeat: o.heartbeat,
-		Grace: o.grace, FlowLifetime: o.flowLifetime,
+		Grace: o.grace, FlowLifetime: o.flowLifetime, ProbesTarget: o.probesTarget,
 	}
 	return program.NewKeylessProcess(sidecar.New(s, sidecar.Dependencies{
 		Codec:               platform.PacketCodec{},
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -82,6 +82,7 @@
 	{Agent, "opaque_opening_wait", Histogram, "", "seconds", "Time that opening packets waited for room at the target."},
 	{Agent, "opaque_evacuated_flows", Gauge, "", "flows", "Flows that the target still holds while its availability zone is evacuated, otherwise 0."},
 	{Agent, "opaque_evacuated_declined", Counter, "", "packets", "Opening packets that the agent declined since the availability zone of its target is evacuated."},
+	{Agent, "opaque_target_probes", Counter, "result", "connections", "Connections to a target whose heartbeat was overdue: refused (the target is gone) or no_proof."},
 	{Agent, "opaque_last_accepted_age", Gauge, "", "seconds", "Time since the target last accepted a new flow."},
 	{Agent, "store_calls", Counter, "call, outcome", "calls", "Calls to the platform's store: read, replace; ok or failed."},
 	{Agent, "store_latency", Histogram, "call, outcome", "seconds", "Duration of calls to the store."},
--- a/internal/opaque/crest/hosts.go
+++ b/internal/opaque/crest/hosts.go
@@ -161,7 +161,11 @@
 	case !h.isTargetUp || !p.Opens && !h.flows[id]:
 		bounced := *p
 		bounced.IsBounced, bounced.Mark = true, mark
-		h.execute(p, h.gate.HandleTargetPacket(h.sim.wallTime(), &bounced))
+		d := h.gate.HandleTargetPacket(h.sim.wallTime(), &bounced)
+		for _, e := range h.gate.TakeEndedFlows().EndedFlows {
+			h.sim.scheduleAfter(h.sim.profile.CallerDelay, func() { h.sim.resetFlow(e.ID) })
+		}
+		h.execute(p, d)
 	case p.Opens:
 		h.flows[id] = true
 		h.sendToCaller(id, flow.Packet{Accepts: true}, (*caller).handleAccepted)
--- a/internal/opaque/proof/simulation_test.go
+++ b/internal/opaque/proof/simulation_test.go
@@ -94,6 +94,8 @@
 	// balancer knows.
 	evacuated   map[string]desired.Evacuation
 	mustBeEmpty map[string]bool
+	// endedFlows counts the flows that agents have ended because of a bounce or a refused connection.
+	endedFlows int
 }
 
 type storedEntry struct {
@@ -344,6 +346,14 @@
 	}
 }
 
+// checkEnded fails the test if an agent has ended a flow that a target holds.
+func (s *simulation) checkEnded(outcome resident.Outcome, what string) {
+	s.endedFlows += len(outcome.EndedFlows)
+	for _, e := range outcome.EndedFlows {
+		s.expectNotHeld(e.ID, what)
+	}
+}
+
 // mustServe reports whether a target holds a flow and has to serve it: the target runs and the flow is younger than its
 // lifetime.
 func (s *simulation) mustServe(h *host, id flow.ID) bool {
@@ -418,6 +428,7 @@
 			bounced := p
 			bounced.IsBounced, bounced.Mark = true, d.Mark
 			d = current.agent.HandleTargetPacket(s.now, &bounced)
+			s.checkEnded(current.agent.TakeEndedFlows(), "an agent reset a flow after a bounce")
 		}
 		switch d.Verdict {
 		case resident.Wait:
--- a/internal/opaque/resident/flows.go
+++ b/internal/opaque/resident/flows.go
@@ -26,13 +26,19 @@
 	// createdAt is when the opening packet was first delivered, acceptedAt when the target last accepted the flow, requestedAt
 	// when the caller last sent new data.
 	createdAt, acceptedAt, requestedAt time.Time
-	// notifiedAt is when a balancer was last notified that the flow is at this agent.
-	notifiedAt time.Time
+	// notifiedAt is when a balancer was last notified that the flow is at this agent, and answeredAt when the target last sent data, both as
+	// the time since the start of the agent: a time.Time has three times the size. answeredAt is valid when hasAnswered is set.
+	notifiedAt, answeredAt time.Duration
 	// acknowledged is the sequence number that the caller last acknowledged.
 	acknowledged uint32
 	// sentUpTo is the sequence number up to which the caller has sent data. It is valid when hasSentData is set.
-	sentUpTo    uint32
-	hasSentData bool
+	sentUpTo uint32
+	// answeredUpTo is the sequence number that follows the data that the target sent last, and answeredMark the mark of the packet that was
+	// last delivered before. They are valid when hasAnswered is set.
+	answeredUpTo, answeredMark uint32
+	hasSentData                bool
+	// hasAnswered is set once the target has sent data.
+	hasAnswered bool
 	// isAccepted is set once the target has accepted the flow, isOpen once the caller has completed the handshake.
 	isAccepted, isOpen bool
 	// isServed is set once the target has sent a packet on the open flow.
@@ -121,10 +127,11 @@
 
 // allowNotification reports whether a balancer may be notified about the flow now, and records the notification.
 func (r *Machine) allowNotification(now time.Time, f *flowEntry) bool {
-	if now.Sub(f.notifiedAt) < minNotificationInterval {
+	sinceStart := now.Sub(r.startedAt)
+	if sinceStart-f.notifiedAt < minNotificationInterval {
 		return false
 	}
-	f.notifiedAt = now
+	f.notifiedAt = sinceStart
 	return true
 }
 
@@ -137,6 +144,9 @@
 		slots := r.target.lastHeartbeat.Slots
 		r.times.recordAnswer(now, now.Sub(f.requestedAt), hadSlot, r.target.isKnown && r.outstandingRequests >= slots, slots)
 	}
+	if p.Payload > 0 {
+		r.recordAnswer(now, f, p)
+	}
 	if p.Finishes {
 		f.finishedEnds |= targetFinished
 	}
@@ -147,7 +157,7 @@
 func (r *Machine) ensureFlow(now time.Time, id flow.ID) *flowEntry {
 	f := r.flows[id]
 	if f == nil {
-		f = &flowEntry{lastPacketAt: now, createdAt: now}
+		f = &flowEntry{lastPacketAt: now, createdAt: now, notifiedAt: now.Sub(r.startedAt) - minNotificationInterval}
 		if len(r.flows) >= maxFlows {
 			r.markFlowTableIncomplete(now)
 			return f
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -129,13 +129,17 @@
 	incompleteUntil time.Time
 	// deliveries is a ring of the latest delivered packets, indexed by mark.
 	deliveries [deliveryRingSize]deliveredPacket
-	// lastMark is the mark of the latest delivered packet. Marks start at 1.
+	// lastMark is the mark of the latest delivered packet. Marks start at the time of the start in microseconds, so that no mark of an
+	// earlier process is valid: a process delivers less than one packet per microsecond.
 	lastMark uint32
 	// waitingFlows counts the flows whose caller waits for the target. outstandingRequests counts those of them whose caller
 	// has sent a request. pendingFlows counts the flows whose opening packets wait at the agent for room at the target.
 	waitingFlows, outstandingRequests, pendingFlows int
 	lastSweepAt                                     time.Time
 	times                                           serviceTimes
+	// endedByBounce is what TakeEndedFlows returns.
+	endedByBounce Outcome
+	probe         probe
 }
 
 // New returns the machine of an agent that starts now at the address self, beside a target of the named service. Flows older
@@ -143,7 +147,7 @@
 func New(now time.Time, self hop.IP, service string, flowLifetime time.Duration) *Machine {
 	r := &Machine{
 		self: self, startedAt: now, serviceName: service, service: desired.ServiceKeyOf(service), flowLifetime: flowLifetime,
-		flows: make(map[flow.ID]*flowEntry),
+		flows: make(map[flow.ID]*flowEntry), lastMark: uint32(now.UnixMicro()),
 	}
 	r.markFlowTableIncomplete(now)
 	return r
@@ -186,10 +190,10 @@
 func (r *Machine) HandleTargetPacket(now time.Time, p *flow.Packet) Decision {
 	if p.IsBounced {
 		r.target.recordStackReply()
-		return r.handleBounce(p)
+		return r.handleBounce(now, p)
 	}
 	if p.Accepts || p.Payload > 0 {
-		r.target.recordSignOfLife()
+		r.target.recordSignOfLife(now)
 	} else {
 		r.target.recordStackReply()
 	}
@@ -210,16 +214,20 @@
 }
 
 // handleBounce returns the decision for a packet that the target bounced because it does not hold the flow.
-func (r *Machine) handleBounce(p *flow.Packet) Decision {
+func (r *Machine) handleBounce(now time.Time, p *flow.Packet) Decision {
+	m := &r.deliveries[p.Mark%deliveryRingSize]
+	isStale := p.Mark == 0 || m.mark != p.Mark
 	reason, previousInstance := Bounced, ""
 	if f := r.flows[p.IDFromCaller()]; f != nil && (!p.Opens || !f.isAccepted) {
 		if f.isServed {
 			reason, previousInstance = Forgotten, r.target.instanceAt(f.acceptedAt)
 		}
 		r.deleteFlow(p.IDFromCaller(), f)
+		if !isStale && r.isBounceProof(now, f, p) {
+			r.endFlowsByBounce(f, p.Mark)
+		}
 	}
-	m := &r.deliveries[p.Mark%deliveryRingSize]
-	if p.Mark == 0 || m.mark != p.Mark {
+	if isStale {
 		return Decision{Verdict: Drop, Reason: StaleMark}
 	}
 	m.mark = 0
--- a/internal/opaque/resident/successor.go
+++ b/internal/opaque/resident/successor.go
@@ -40,7 +40,7 @@
 
 // findSuccessor returns what is known of another incarnation, one of whose heartbeats has arrived, and reports whether it has replaced
 // the known one.
-func (t *target) findSuccessor(h Heartbeat) (successor, bool) {
+func (t *target) findSuccessor(now time.Time, h Heartbeat) (successor, bool) {
 	if !t.isAbsent() && slices.Contains(t.replaced, h.incarnation()) {
 		return successor{}, false
 	}
@@ -60,7 +60,7 @@
 		return *s, true
 	}
 	// Some incarnation is alive, so its flows do not end because the known one is silent.
-	t.recordSignOfLife()
+	t.recordSignOfLife(now)
 	return *s, isRising && s.ticks >= minSuccessorTicks
 }
 
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -50,6 +50,8 @@
 	awaitsReply bool
 	// heartbeatAt is when the last heartbeat was received.
 	heartbeatAt time.Time
+	// signOfLifeAt is when the target last gave a sign of life.
+	signOfLifeAt time.Time
 	// previousInstance is the instance of the target until instanceChangedAt.
 	previousInstance  string
 	instanceChangedAt time.Time
@@ -113,7 +115,9 @@
 }
 
 // recordSignOfLife records a packet or heartbeat that only a running target sends.
-func (t *target) recordSignOfLife() { t.awaitsReply, t.silentTicks = false, 0 }
+func (t *target) recordSignOfLife(now time.Time) {
+	t.awaitsReply, t.silentTicks, t.signOfLifeAt = false, 0, now
+}
 
 // recordStackReply records a packet that needs no running target: a VM whose target has shut down still bounces packets and
 // resets flows.
@@ -141,7 +145,7 @@
 	switch {
 	case isNew:
 		var hasReplaced bool
-		if next, hasReplaced = t.findSuccessor(h); !hasReplaced {
+		if next, hasReplaced = t.findSuccessor(now, h); !hasReplaced {
 			return Outcome{IsUnconfirmed: true}
 		}
 	case t.isKnown && !isNew && h.Sequence <= t.lastHeartbeat.Sequence:
@@ -163,7 +167,7 @@
 	before, previousInstance := r.Entry(), t.lastHeartbeat.Instance
 	t.lastHeartbeat, t.heartbeatAt, t.isKnown, t.hasLeft, t.hasTimedOut = h, now, true, false, false
 	t.resetSuccessorTicks()
-	t.recordSignOfLife()
+	t.recordSignOfLife(now)
 	return Outcome{HasChanged: before != r.Entry(), EndedFlows: ended, PreviousInstance: previousInstance}
 }
 
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -18,6 +18,8 @@
 	// that the agent has declined for that reason. lastAccepted is the age of the last new flow in seconds.
 	evacuatedFlows, lastAccepted tally.Gauge
 	evacuatedDeclined            tally.Counter
+	// probesRefused and probesOther count the connections to targets whose heartbeat was overdue.
+	probesRefused, probesOther tally.Counter
 }
 
 // waitBuckets are the bounds of the histogram of wait times. Opening packets wait for at most 1.2 s (admission.MaxWait).
@@ -33,10 +35,22 @@
 		evacuatedFlows: scope.Gauge("opaque_evacuated_flows"), lastAccepted: scope.Gauge("opaque_last_accepted_age"),
 		evacuatedDeclined: scope.Counter("opaque_evacuated_declined"),
 	}
+	probe := func(result string) tally.Counter {
+		return scope.Tagged(map[string]string{"result": result}).Counter("opaque_target_probes")
+	}
+	c.probesRefused, c.probesOther = probe("refused"), probe("no_proof")
 	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
 	}
 	return c
 }
 
+func (c *counters) recordProbe(isRefused bool) {
+	if isRefused {
+		c.probesRefused.Inc(1)
+		return
+	}
+	c.probesOther.Inc(1)
+}
+
 func (c *counters) verdict(v resident.Verdict) tally.Counter { return c.verdicts[v] }
--- a/internal/opaque/sidecar/packets.go
+++ b/internal/opaque/sidecar/packets.go
@@ -81,7 +81,12 @@
 		s.mu.Lock()
 		now := time.Now()
 		d := s.gate.HandleTargetPacket(now, &p)
+		var outcome resident.Outcome
+		if d.Reason == resident.Forgotten {
+			outcome = s.gate.TakeEndedFlows()
+		}
 		s.mu.Unlock()
+		s.resetEndedFlows("", outcome)
 		s.applyDecision(&p, d, datagram)
 		s.admitPending(now)
 	})
--- a/internal/opaque/sidecar/sidecar.go
+++ b/internal/opaque/sidecar/sidecar.go
@@ -42,6 +42,9 @@
 	Service string
 	// Heartbeat is the interval of the target's heartbeats.
 	Heartbeat time.Duration
+	// ProbesTarget is set if the target also listens for TCP connections at Target, as long as it runs. A refused connection then ends its
+	// flows while a heartbeat is overdue.
+	ProbesTarget bool
 	// Grace is the time after which a stopping agent is killed.
 	Grace time.Duration
 	// FlowLifetime is the age from which flows may be discarded.
@@ -128,6 +131,7 @@
 	group.Go("entry", s.maintainEntry)
 	group.Go("sweep", s.sweepFlows)
 	group.Go("presence", s.watchTarget)
+	group.Go("probe", s.probeTarget)
 	group.Go("openings", s.expirePending)
 	group.Go("stop", func(ctx context.Context) error {
 		select {
