--- a/cmd/gentian-agent/opaque.go
+++ b/cmd/gentian-agent/opaque.go
@@ -38,6 +38,7 @@
 	heartbeat                  time.Duration
 	grace, flowLifetime        time.Duration
 	openingLimit               resident.OpeningLimit
+	probesTarget               bool
 }
 
 const (
@@ -57,6 +58,8 @@
 	settings.AddrPortVar(fs, &o.outbound, "outbound", "IPv4 `ip:port` that receives the packets of the target")
 	settings.AddrPortVar(fs, &o.announce, "announce", "IPv4 `ip:port` that receives the heartbeats of the target")
 	fs.DurationVar(&o.heartbeat, "heartbeat", time.Second, "interval of the target's heartbeats")
+	fs.BoolVar(&o.probesTarget, "probe-target", false,
+		"the target also listens for TCP connections at its address; a refused one ends its flows while a heartbeat is overdue")
 	fs.DurationVar(&o.grace, "grace", defaultGrace, "`time` between the request to stop and the kill of the agent")
 	fs.DurationVar(&o.flowLifetime, "flow-lifetime", flow.Lifetime, "age at which flows may be discarded")
 	fs.Float64Var(&o.openingLimit.Excess, "warm-up-excess", 0,
@@ -107,7 +110,7 @@
 	s := sidecar.Settings{
 		Data: parts.Common.Data, Outbound: o.outbound, Target: o.target, Announce: o.announce,
 		PeerPort: o.peer.Port(), Service: o.service, Heartbeat: o.heartbeat,
-		Grace: o.grace, FlowLifetime: o.flowLifetime, OpeningLimit: o.openingLimit,
+		Grace: o.grace, FlowLifetime: o.flowLifetime, OpeningLimit: o.openingLimit, ProbesTarget: o.probesTarget,
 	}
 	return program.NewKeylessProcess(sidecar.New(s, sidecar.Dependencies{
 		Codec:               platform.PacketCodec{},
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -89,6 +89,7 @@
 	{Agent, "opaque_records_refused", Counter, "", "records", "Records that the agent has ignored: they cannot be decoded, or are of another agent or service."},
 	{Agent, "opaque_cold_skipped", Counter, "", "packets", "Opening packets that the target did not receive at once because of the limit of a target that is cold or has returned to service: forwarded, queued or dropped."},
 	{Agent, "opaque_warmup_left", Gauge, "", "seconds", "Time for which the target stays cold, 0 if it is warm."},
+	{Agent, "opaque_target_probes", Counter, "result", "connections", "Connections to a target whose heartbeat was overdue: refused (the target is gone) or no_proof."},
 	{Agent, "opaque_last_accepted_age", Gauge, "", "seconds", "Time since the target last accepted a new flow."},
 	{Agent, "store_calls", Counter, "call, outcome", "calls", "Calls to the platform's store: read, replace; ok or failed."},
 	{Agent, "store_latency", Histogram, "call, outcome", "seconds", "Duration of calls to the store."},
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -52,6 +52,8 @@
 	awaitsReply bool
 	// heartbeatAt is when the last heartbeat was received.
 	heartbeatAt time.Time
+	// signOfLifeAt is when the target last gave a sign of life.
+	signOfLifeAt time.Time
 	// previousInstance is the instance of the target until instanceChangedAt.
 	previousInstance  string
 	instanceChangedAt time.Time
@@ -117,7 +119,9 @@
 }
 
 // recordSignOfLife records a packet or heartbeat that only a running target sends.
-func (t *target) recordSignOfLife() { t.awaitsReply, t.silentTicks = false, 0 }
+func (t *target) recordSignOfLife(now time.Time) {
+	t.awaitsReply, t.silentTicks, t.signOfLifeAt = false, 0, now
+}
 
 // recordStackReply records a packet that needs no running target: a VM whose target has shut down still bounces packets and
 // resets flows.
@@ -145,7 +149,7 @@
 	switch {
 	case isNew:
 		var hasReplaced bool
-		if next, hasReplaced = t.findSuccessor(h); !hasReplaced {
+		if next, hasReplaced = t.findSuccessor(now, h); !hasReplaced {
 			t.extendColdness(now, h)
 			return Outcome{IsUnconfirmed: true}
 		}
@@ -169,7 +173,7 @@
 	t.lastHeartbeat, t.heartbeatAt, t.isKnown, t.hasLeft, t.hasTimedOut = h, now, true, false, false
 	t.coldUntil = now.Add(h.WarmupLeft)
 	t.resetSuccessorTicks()
-	t.recordSignOfLife()
+	t.recordSignOfLife(now)
 	return Outcome{HasChanged: before != r.Entry(), EndedFlows: ended, PreviousInstance: previousInstance}
 }
 
--- a/internal/opaque/sidecar/counters.go
+++ b/internal/opaque/sidecar/counters.go
@@ -26,6 +26,8 @@
 	// because of its limit.
 	warmupLeft  tally.Gauge
 	coldSkipped tally.Counter
+	// probesRefused and probesOther count the connections to targets whose heartbeat was overdue.
+	probesRefused, probesOther tally.Counter
 }
 
 // waitBuckets are the bounds of the histogram of wait times. Opening packets wait for at most 1.2 s (admission.MaxWait).
@@ -44,10 +46,22 @@
 		recordsRefused: scope.Counter("opaque_records_refused"), recordFlows: scope.Gauge("opaque_record_flows"),
 		warmupLeft: scope.Gauge("opaque_warmup_left"), coldSkipped: scope.Counter("opaque_cold_skipped"),
 	}
+	probe := func(result string) tally.Counter {
+		return scope.Tagged(map[string]string{"result": result}).Counter("opaque_target_probes")
+	}
+	c.probesRefused, c.probesOther = probe("refused"), probe("no_proof")
 	for v := resident.Deliver; v <= resident.Wait; v++ {
 		c.verdicts[v] = scope.Tagged(map[string]string{"verdict": v.String()}).Counter("opaque_packets")
 	}
 	return c
 }
 
+func (c *counters) recordProbe(isRefused bool) {
+	if isRefused {
+		c.probesRefused.Inc(1)
+		return
+	}
+	c.probesOther.Inc(1)
+}
+
 func (c *counters) verdict(v resident.Verdict) tally.Counter { return c.verdicts[v] }
