A waiting flow at its limit goes first while the queue is short

Cause: in an overload the newest flow is served first, and a flow that reaches its wait limit is refused even if the queue is so short that serving it costs no other flow its objective.

Change: the oldest flow of the route served next goes first if it would reach the limit before the next free slot (SlotInterval, from measured service times) and the whole queue can be served within half of the objective. More urgent routes still go first. While service times are not known, nothing changes.

--- a/internal/opaque/admission/admission.go
+++ b/internal/opaque/admission/admission.go
@@ -58,9 +58,11 @@
 
 // Queue holds the flows that wait for room at a target. Its zero value is an empty queue.
 type Queue[T any] struct {
-	// Limit is the number of flows that the target can serve within MaxWait, or 0 when that is not known.
+	// Limit is the maximum length of the queue. It follows from the target's service times, and is 0 while these are not known.
 	Limit int
-	flows []queuedFlow[T]
+	// SlotInterval is the mean time after which the next slot of the busy target becomes free, or 0 when that is not known.
+	SlotInterval time.Duration
+	flows        []queuedFlow[T]
 }
 
 // Len returns the number of flows in the queue.
@@ -113,9 +115,31 @@
 			best = i
 		}
 	}
+	if i, isLast := q.findLastChance(now, best); isLast {
+		best = i
+	}
 	return q.removeAt(now, best), true
 }
 
+// findLastChance returns the oldest flow as urgent as the flow at index next, and reports whether it is served instead of that flow: it
+// would reach MaxWait before the next slot becomes free, and the whole queue can be served within the part of the objective that
+// canMeetObjective grants. With a longer queue, each flow served at its limit would make another one late.
+func (q *Queue[T]) findLastChance(now time.Time, next int) (oldest int, isLast bool) {
+	oldest = next
+	if q.SlotInterval == 0 {
+		return oldest, false
+	}
+	for i := range q.flows {
+		f := &q.flows[i]
+		if f.pending.Urgency.PriorityOffset == q.flows[next].pending.Urgency.PriorityOffset && f.startedAt.Before(q.flows[oldest].startedAt) {
+			oldest = i
+		}
+	}
+	f := &q.flows[oldest]
+	isShort := time.Duration(len(q.flows))*q.SlotInterval < f.pending.Urgency.Objective/2
+	return oldest, isShort && now.Sub(f.startedAt) >= MaxWait-q.SlotInterval
+}
+
 // PopExpired removes and returns a flow that has reached MaxWait: its caller is about to give up. It reports false when there
 // is none.
 func (q *Queue[T]) PopExpired(now time.Time) (PendingFlow[T], bool) {
--- a/internal/opaque/admission/admission_test.go
+++ b/internal/opaque/admission/admission_test.go
@@ -88,6 +88,35 @@
 	g.Expect(float64(timely) / float64(served)).To(BeNumerically(">=", 0.9))
 }
 
+// At a demand slightly above capacity, the newest flows went first until late ones reached their limit and were refused, although the
+// queue was short.
+func TestFlowAtItsLimitGoesFirstOnlyInShortQueueOfItsRoute(t *testing.T) {
+	for name, test := range map[string]struct {
+		slotInterval           time.Duration
+		timely, lateAt, urgent int
+		want                   uint16
+	}{
+		"at its limit":                   {20 * time.Millisecond, 3, 0, 0, 1000},
+		"a later slot is early enough":   {20 * time.Millisecond, 3, 30, 0, 2},
+		"timely flows would become late": {20 * time.Millisecond, 5, 0, 0, 4},
+		"a more urgent route goes first": {20 * time.Millisecond, 3, 0, 1, 2000},
+		"service times are not known":    {0, 3, 0, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := admission.Queue[string]{SlotInterval: test.slotInterval}
+			q.Enqueue(after(test.lateAt), pendingFlow(1000, 2, 0))
+			for port := range test.timely {
+				q.Enqueue(after(1150+port), pendingFlow(uint16(port), 2, 0))
+			}
+			for range test.urgent {
+				q.Enqueue(after(1170), pendingFlow(2000, 1, 0))
+			}
+			next, _ := q.Pop(after(1185))
+			NewWithT(t).Expect(next.ID.Caller.Port).To(Equal(test.want))
+		})
+	}
+}
+
 func TestLateFlowIsServedAfterTimelyOnes(t *testing.T) {
 	g := NewWithT(t)
 	var q admission.Queue[string]
--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -61,7 +61,7 @@
 	case d.Verdict == resident.Deliver && p.Opens:
 		g.pending.Remove(p.IDFromCaller())
 	case d.Verdict == resident.Wait:
-		g.pending.Limit = g.Capacity(admission.MaxWait)
+		g.pending.Limit, g.pending.SlotInterval = g.Capacity(admission.MaxWait), g.SlotInterval()
 		last, isFull := g.pending.Enqueue(now, admission.PendingFlow[pendingPacket[T]]{
 			ID: p.IDFromCaller(), Retransmissions: p.Retransmissions,
 			Urgency: admission.Urgency{PriorityOffset: h.PriorityOffset, Objective: time.Duration(h.Objective) * time.Millisecond},
--- a/internal/opaque/resident/opening.go
+++ b/internal/opaque/resident/opening.go
@@ -143,6 +143,12 @@
 	return max(int(in*time.Duration(r.target.lastHeartbeat.Slots)/r.times.run), 1)
 }
 
+// SlotInterval returns the mean time after which the next slot becomes free while all slots of the target are in use, or 0 when that is
+// not known.
+func (r *Machine) SlotInterval() time.Duration {
+	return r.times.run / time.Duration(max(r.target.lastHeartbeat.Slots, 1))
+}
+
 // HasRoom reports whether a new request would run at once or wait only briefly at the target. A target that joins has none
 // yet. One whose slots are not known always has room.
 func (r *Machine) HasRoom(now time.Time) bool {
