--- a/internal/opaque/resident/persistent.go
+++ b/internal/opaque/resident/persistent.go
@@ -28,10 +28,15 @@
 	}
 }
 
+// isPersistent reports whether the target has answered several requests of a flow that must not run twice, and neither end has finished.
+func (f *flowEntry) isPersistent() bool {
+	return f.isOpen && f.runsOnce && f.served >= minServedRequests && f.finishedEnds == 0
+}
+
 // AppendPersistentFlows appends the persistent flows that neither end has finished, in no order.
 func (r *Machine) AppendPersistentFlows(flows []PersistentFlow) []PersistentFlow {
 	for id, f := range r.flows {
-		if f.isOpen && f.runsOnce && f.served >= minServedRequests && f.finishedEnds == 0 {
+		if f.isPersistent() {
 			flows = append(flows, PersistentFlow{
 				ID: id, AcceptedAt: f.acceptedAt, UsedAt: f.lastPacketAt, Acknowledged: f.acknowledged,
 			})
--- a/internal/opaque/resident/probe.go
+++ b/internal/opaque/resident/probe.go
@@ -32,7 +32,7 @@
 		p.isProven = false
 	}
 	canProbe := t.isKnown && !t.isAbsent() && !t.lastHeartbeat.IsDraining && !p.isRunning && !p.isProven
-	if !canProbe || !isOverdue || now.Sub(p.startedAt) < interval/probesPerHeartbeat || !r.hasServedOpenFlow() {
+	if !canProbe || !isOverdue || now.Sub(p.startedAt) < interval/probesPerHeartbeat || !r.hasPersistentFlow() {
 		return false
 	}
 	p.startedAt, p.isRunning = now, true
@@ -54,10 +54,10 @@
 	}
 }
 
-// hasServedOpenFlow reports whether there is a flow that a refused probe would reset.
-func (r *Machine) hasServedOpenFlow() bool {
+// hasPersistentFlow reports whether there is a flow whose caller would lose its next request if the target has stopped.
+func (r *Machine) hasPersistentFlow() bool {
 	for _, f := range r.flows {
-		if f.isServed && f.finishedEnds&targetFinished == 0 {
+		if f.isPersistent() {
 			return true
 		}
 	}
