The limit of an agent's queue stays what its target answers within the wait limit

Cause: half of such a queue cannot be served within the wait limit of its flows. Their callers would wait for 1.2 s and be refused then, although the refusal is known when they arrive.

--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -61,7 +61,7 @@
 	case d.Verdict == resident.Deliver && p.Opens:
 		g.pending.Remove(p.IDFromCaller())
 	case d.Verdict == resident.Wait:
-		g.pending.Limit, g.pending.SlotInterval = g.queueLimit(), g.SlotInterval()
+		g.pending.Limit, g.pending.SlotInterval = g.Capacity(admission.MaxWait), g.SlotInterval()
 		last, isFull := g.pending.Enqueue(now, admission.PendingFlow[pendingPacket[T]]{
 			ID: p.IDFromCaller(), Retransmissions: p.Retransmissions,
 			Urgency: admission.Urgency{PriorityOffset: h.PriorityOffset, Objective: time.Duration(h.Objective) * time.Millisecond},
@@ -74,18 +74,6 @@
 	return d, displaced, false
 }
 
-// queueLimit returns the maximum number of opening packets that wait. That is what the target answers within MaxWait, and twice as
-// many while each slot becomes free at least twice in that time. A flow beyond the limit is refused at once, and its caller spends
-// another attempt within 100 ms. After a power loss in a burst, callers used up their attempts in this way, although the service times
-// measured at cold targets soon no longer applied. Where runs are longer, a change of the service times is too late for these flows.
-func (g *Gate[T]) queueLimit() int {
-	_, slots := g.Load()
-	if limit := g.Capacity(admission.MaxWait); limit < 2*slots {
-		return limit
-	}
-	return g.Capacity(2 * admission.MaxWait)
-}
-
 // Next removes and returns the opening packet that the target gets next. It reports false when none waits or the target has no
 // room or may receive no further opening packet for now.
 func (g *Gate[T]) Next(now time.Time) (Released[T], bool) {
