--- a/internal/opaque/resident/lost_test.go
+++ b/internal/opaque/resident/lost_test.go
@@ -122,7 +122,7 @@
 			openServed(g, r, 150, 3)
 			return bounce(r, 200, dataPacket(2, 300))
 		}, []uint16{1}},
-		"a flow ends that was accepted again": {func(g Gomega, r *resident.Machine) []uint16 {
+		"a flow ends that was accepted again": {func(_ Gomega, r *resident.Machine) []uint16 {
 			r.HandleTargetPacket(after(150), acceptPacket(1))
 			return bounce(r, 200, dataPacket(2, 300))
 		}, nil},
--- a/internal/opaque/resident/opening_limit_test.go
+++ b/internal/opaque/resident/opening_limit_test.go
@@ -84,7 +84,7 @@
 	for name, isLastCold := range map[string]bool{"last target is warm": false, "all targets are cold": true} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			h, at, hops := newHeader(make([]hop.IP, last)...), here, 0
+			h, at, hops := newHeader(make([]hop.IP, last)...), hop.IP{10, 2, 0, 0}, 0
 			var d resident.Decision
 			machines := make(map[hop.IP]*resident.Machine)
 			for n := range byte(last + 1) {
@@ -103,7 +103,7 @@
 					h.Candidates[n-1] = ip
 				}
 			}
-			for at = (hop.IP{10, 2, 0, 0}); ; at, h, hops = d.Next, &d.Header, hops+1 {
+			for ; ; at, h, hops = d.Next, &d.Header, hops+1 {
 				if d = machines[at].HandleCallerPacket(after(1), openingPacket(2), h); d.Verdict != resident.ForwardNext {
 					break
 				}
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -176,21 +176,27 @@
 	if r.target.hasTimedOut || r.target.hasLeft && f == nil {
 		return decline(h, Absent)
 	}
-	if f == nil && r.IsFlowTableComplete(now) {
+	switch {
+	case f != nil:
+		return r.deliverOfFlow(now, id, f, p, h)
+	case r.IsFlowTableComplete(now):
 		return decline(h, FlowNotHeld)
+	default:
+		return Decision{Verdict: Deliver, Mark: r.recordDelivery(h)}
 	}
-	if f != nil && p.Opens {
+}
+
+// deliverOfFlow returns the decision for a caller's packet of a flow in the table.
+func (r *Machine) deliverOfFlow(now time.Time, id flow.ID, f *flowEntry, p *flow.Packet, h *hop.Header) Decision {
+	if p.Opens {
 		if !r.canDeliverCopy(now) {
 			// The target has the flow already. The caller repeats the packet if it gets no answer.
 			return Decision{Verdict: Drop, Reason: Cold}
 		}
 		r.recordOpeningDelivery(now)
 	}
-	d := Decision{Verdict: Deliver, Mark: r.recordDelivery(h)}
-	if f != nil {
-		d.Reason = FlowHeld
-		d.NotifyOrigin = r.recordCallerPacket(now, id, f, p) && h.Hops > 0 && r.allowNotification(now, f)
-	}
+	d := Decision{Verdict: Deliver, Reason: FlowHeld, Mark: r.recordDelivery(h)}
+	d.NotifyOrigin = r.recordCallerPacket(now, id, f, p) && h.Hops > 0 && r.allowNotification(now, f)
 	return d
 }
 
