--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -94,7 +94,8 @@
 }
 
 // NextExpired removes and returns an opening packet that has reached its wait limit. It is delivered when the target can still
-// answer within the objective, because a caller whose flow is open continues to wait, and may receive an opening packet. Otherwise it is returned to the balancer.
+// answer within the objective, because a caller whose flow is open continues to wait, and may receive an opening packet. Otherwise it is
+// returned to the balancer.
 // NextExpired reports false when there is none.
 func (g *Gate[T]) NextExpired(now time.Time) (Released[T], bool) {
 	expired, ok := g.pending.PopExpired(now)
