One loop that ends flows, one type for an incarnation, one window for resets

Both call endFlows with a condition now. A served flow is always open, so the check of an open flow, which only one of them had, selects the same flows. - Package record had its own copies of the incarnation of a target and of the highest first sequence. It uses those of resident. - The 76,800 bytes within which a caller accepts a reset stood in two packages as different constants. They are flow.ResetWindow. - The balancer's tick filled two slices by the index of the ping and put them together in another loop. statusFor returns the status of a ping. - The comment of a simulated pattern named a deployment.

Checked: go vet, the linter (0 issues), go test of resident, record, sidecar, forwarder, gate, steer, flow and of the histories Proofs, Evacuated and ReachTheir of proof pass.

--- a/internal/opaque/crest/patterns.go
+++ b/internal/opaque/crest/patterns.go
@@ -61,8 +61,8 @@
 }
 
 // newPatientPattern returns a small deployment at half of its capacity, with the given faults. Its callers stay for several times the
-// objective, so a backlog can be served late instead of being refused. The rates, times and credits are those of kask in
-// docs/design/hard-load.md, scaled to 7 of 50 targets.
+// objective, so a backlog can be served late instead of being refused. The rates, times and credits are those of the deployment with the
+// shorter deadlines in docs/design/hard-load.md, scaled to 7 of 50 targets.
 func newPatientPattern(name string, faults ...Fault) Profile {
 	return Profile{
 		Pattern: name, Length: 12 * time.Second, Zones: 3, Balancers: 5, Targets: 7, Slots: 3, Backlog: 12,
--- a/internal/opaque/flow/flow.go
+++ b/internal/opaque/flow/flow.go
@@ -13,6 +13,9 @@
 // Lifetime is the age from which the users' platform permits a flow to be discarded.
 const Lifetime = time.Minute
 
+// ResetWindow is the distance in bytes from its last acknowledgement within which the caller of an open flow accepts a reset.
+const ResetWindow = 76_800
+
 // Endpoint is an IPv4 address and port. It is a small comparable value, since two are read from every packet.
 type Endpoint struct {
 	IP   [4]byte
--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -226,22 +226,29 @@
 	var buffer [hop.MaxGroupStatusFrame]byte
 	hubStatus := f.balancerStatus(now)
 	// The rates are read after the version of the configuration, so that agents never keep a rate of an older one for that version.
-	evacuations, coldRates := make([]desired.Evacuation, len(pings)), make([]uint16, len(pings))
+	statuses := make([]hop.BalancerStatus, len(pings))
 	f.mu.Lock()
 	for i, ping := range pings {
-		evacuations[i], coldRates[i] = f.evacuationOf(ping.Agent), f.coldRateOf(ping.Agent)
+		statuses[i] = f.statusFor(ping, hubStatus)
 	}
 	f.mu.Unlock()
 	for i, ping := range pings {
-		status := hubStatus
-		if !ping.IsToHub {
-			status = hop.BalancerStatus{Configuration: hubStatus.Configuration, Revision: hubStatus.Revision}
-		}
-		status.Evacuation, status.IsEvacuated = uint64(evacuations[i].Version), evacuations[i].IsEvacuated
-		status.ColdRate = coldRates[i]
 		h := hop.Header{Kind: hop.Ping, Origin: f.self, Sequence: ping.Sequence}
-		f.sendToAgent(ping.Agent, h.Append(status.Append(buffer[:0])))
+		f.sendToAgent(ping.Agent, h.Append(statuses[i].Append(buffer[:0])))
+	}
+}
+
+// statusFor returns the status that a ping carries: what concerns the target, and for a hub the full status of this balancer. The caller
+// holds mu.
+func (f *Forwarder) statusFor(ping directory.Ping, hubStatus hop.BalancerStatus) hop.BalancerStatus {
+	status := hubStatus
+	if !ping.IsToHub {
+		status = hop.BalancerStatus{Configuration: hubStatus.Configuration, Revision: hubStatus.Revision}
 	}
+	evacuation := f.evacuationOf(ping.Agent)
+	status.Evacuation, status.IsEvacuated = uint64(evacuation.Version), evacuation.IsEvacuated
+	status.ColdRate = f.coldRateOf(ping.Agent)
+	return status
 }
 
 // coldRateOf returns the number of requests per second that a cold target of an agent's service can handle, or 0 if there is no limit. A
--- a/internal/opaque/record/machine.go
+++ b/internal/opaque/record/machine.go
@@ -28,14 +28,12 @@
 	// maxAge is the age from which a record is ignored. A caller may use the port of a recorded flow again for a flow at another
 	// agent, but not that soon. It also bounds how far the time of a record may be in the future, since clocks differ.
 	maxAge = 30 * time.Second
-	// maxFirstSequence is the highest sequence of the first heartbeat of an incarnation.
-	maxFirstSequence = 1
 	// maxMissedSequence is the highest sequence of the first heartbeat that the process receives, if the incarnation started after the
 	// record was written. After a power loss the target sends some heartbeats before its agent listens.
 	maxMissedSequence = 5
-	// maxUnrecordedBytes is the number of bytes that the caller may acknowledge before its flow is written again. A reset is
-	// accepted within 76,800 bytes of the last acknowledgement; half of it remains for the time until the write.
-	maxUnrecordedBytes = 38_400
+	// maxUnrecordedBytes is the number of bytes that the caller may acknowledge before its flow is written again. The other half of the
+	// window in which a reset is accepted remains for the time until the write.
+	maxUnrecordedBytes = flow.ResetWindow / 2
 	// refreshAge is the age from which a record is written again if a flow has been used since, because records older than maxAge
 	// are ignored.
 	refreshAge = 20 * time.Second
@@ -66,7 +64,7 @@
 	// and the one before of the same incarnation at heardBeforeAt, or never if that is zero.
 	first                  resident.Heartbeat
 	hasHeard               bool
-	current                Incarnation
+	current                resident.Incarnation
 	heardAt, heardBeforeAt time.Time
 	latestStarted          int64
 
@@ -128,7 +126,7 @@
 // isFirst reports whether a heartbeat is one of the first of its incarnation, so that the incarnation has accepted none of the recorded
 // flows: it is the very first one, or the incarnation started after the record was written, by the clock of the same VM.
 func isFirst(h resident.Heartbeat, r *Record) bool {
-	return h.Sequence <= maxFirstSequence || h.Sequence <= maxMissedSequence && h.Started > r.WrittenAt.UnixMilli()
+	return h.Sequence <= resident.MaxFirstSequence || h.Sequence <= maxMissedSequence && h.Started > r.WrittenAt.UnixMilli()
 }
 
 // isCurrent reports whether the age of a record permits its use.
@@ -142,7 +140,7 @@
 	if !m.hasHeard {
 		m.first, m.hasHeard = h, true
 	}
-	incarnation := Incarnation{Instance: h.Instance, Started: h.Started}
+	incarnation := h.Incarnation()
 	m.heardBeforeAt = m.heardAt
 	if incarnation != m.current {
 		m.heardBeforeAt = time.Time{}
@@ -198,9 +196,9 @@
 	}, m.version, true
 }
 
-// selectFlows returns the flows to record. Only flows are recorded that the current incarnation or
-// an earlier one is known to have accepted: a later one may already run. Two heartbeats must have arrived since, because one may have
-// been late. Without a time of start no record could be used.
+// selectFlows returns the flows to record. Only flows are recorded that the current incarnation or an earlier one is known to have
+// accepted: a later one may already run. Two heartbeats must have arrived since, because one may have been late. Without a time of start
+// no record could be used.
 func (m *Machine) selectFlows(flows []resident.PersistentFlow) []Flow {
 	if m.current.Started == 0 || m.heardBeforeAt.IsZero() || len(m.current.Instance) > maxInstanceBytes {
 		return nil
--- a/internal/opaque/record/record.go
+++ b/internal/opaque/record/record.go
@@ -16,6 +16,7 @@
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/registry"
+	"gentianswitch/internal/opaque/resident"
 )
 
 const (
@@ -42,19 +43,13 @@
 	Acknowledged uint32
 }
 
-// Incarnation identifies a start of a target. Started is in Unix milliseconds, or 0 when it is not known.
-type Incarnation struct {
-	Instance string
-	Started  int64
-}
-
 // Record is what the store holds of the persistent flows of a target. All of its flows were accepted by the incarnation, or by one
 // before it.
 type Record struct {
 	// Agent is the address of the agent that wrote the record, and Service the service of its target.
 	Agent       hop.IP
 	Service     desired.ServiceKey
-	Incarnation Incarnation
+	Incarnation resident.Incarnation
 	// LatestStarted is the latest start of any incarnation that the agent knows of. It is above the incarnation's own start if the
 	// clock of the VM was set back.
 	LatestStarted int64
--- a/internal/opaque/record/record_test.go
+++ b/internal/opaque/record/record_test.go
@@ -12,6 +12,7 @@
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
 	"gentianswitch/internal/opaque/record"
+	"gentianswitch/internal/opaque/resident"
 )
 
 var (
@@ -32,7 +33,7 @@
 func newRecord(flows int) record.Record {
 	startedAt := start.Add(-100 * time.Second).UnixMilli()
 	r := record.Record{
-		Agent: agent, Service: service, Incarnation: record.Incarnation{Instance: "i-1", Started: startedAt}, LatestStarted: startedAt,
+		Agent: agent, Service: service, Incarnation: resident.Incarnation{Instance: "i-1", Started: startedAt}, LatestStarted: startedAt,
 		WrittenAt: start.Add(-2 * time.Second),
 	}
 	for n := range flows {
--- a/internal/opaque/resident/complete.go
+++ b/internal/opaque/resident/complete.go
@@ -15,9 +15,9 @@
 //   - a target sends its first heartbeat after two heartbeat intervals in which this process received none.
 
 const (
-	// maxFirstSequence is the highest sequence number of an incarnation's first heartbeat. A higher number shows that earlier
+	// MaxFirstSequence is the highest sequence number of an incarnation's first heartbeat. A higher number shows that earlier
 	// heartbeats were lost, and that the target may have started before this process.
-	maxFirstSequence = 1
+	MaxFirstSequence = 1
 	// minQuietTicks is the number of ticks without a sign of life before the first heartbeat of a target that has started
 	// while the agent was running.
 	minQuietTicks = 2 * TicksPerHeartbeat
@@ -36,13 +36,13 @@
 // started while this agent process was running. isNew is set if it follows a known incarnation. It is called before the heartbeat is
 // recorded.
 func (t *target) startedDuringProcess(isNew bool, firstSequence int64) bool {
-	return isNew && t.isConfirmed || !t.isKnown && firstSequence <= maxFirstSequence && t.silentTicks >= minQuietTicks
+	return isNew && t.isConfirmed || !t.isKnown && firstSequence <= MaxFirstSequence && t.silentTicks >= minQuietTicks
 }
 
 // recordHeard records a heartbeat of the known incarnation, or of one that becomes the known one.
 func (t *target) recordHeard(isOther bool, sequence int64) {
 	if isOther {
-		t.heardTicks, t.isConfirmed = 0, sequence <= maxFirstSequence
+		t.heardTicks, t.isConfirmed = 0, sequence <= MaxFirstSequence
 		return
 	}
 	t.isConfirmed = t.isConfirmed || t.heardTicks >= minSuccessorTicks
--- a/internal/opaque/resident/flows.go
+++ b/internal/opaque/resident/flows.go
@@ -201,9 +201,14 @@
 // endFlowsAcceptedBy removes the flows that the target had accepted by the given time, at which it was still running. It
 // returns the open ones. Flows accepted later may belong to its next incarnation.
 func (r *Machine) endFlowsAcceptedBy(by time.Time) []EndedFlow {
+	return r.endFlows(func(f *flowEntry) bool { return !f.acceptedAt.After(by) })
+}
+
+// endFlows removes the flows that the target no longer holds, as isLost reports, and returns the open ones.
+func (r *Machine) endFlows(isLost func(*flowEntry) bool) []EndedFlow {
 	var ended []EndedFlow
 	for id, f := range r.flows {
-		if f.acceptedAt.After(by) {
+		if !isLost(f) {
 			continue
 		}
 		if f.isOpen && f.finishedEnds&targetFinished == 0 {
--- a/internal/opaque/resident/lost.go
+++ b/internal/opaque/resident/lost.go
@@ -16,8 +16,8 @@
 	// that are idle for 12 s, and forget them later. The bound is less than half of that, since packets can be delayed.
 	maxAnsweredAge = 5 * time.Second
 	// maxSequenceDistance is the distance from the target's last data within which a caller's acknowledgement belongs to the same flow.
-	// A packet of an earlier flow of the same port can be late. Callers accept resets within this distance.
-	maxSequenceDistance = 76_800
+	// A packet of an earlier flow of the same port can be late.
+	maxSequenceDistance = flow.ResetWindow
 )
 
 // recordAnswer records that the target has sent data on a flow.
@@ -79,17 +79,7 @@
 // the open ones. A flow that the target has not served yet stays: a late copy of an opening packet may have opened it here, while
 // another target holds it. Its caller repeats its request.
 func (r *Machine) endServedFlows(by time.Time, isKept func(*flowEntry) bool) []EndedFlow {
-	var ended []EndedFlow
-	for id, f := range r.flows {
-		if !f.isServed || f.acceptedAt.After(by) || isKept(f) {
-			continue
-		}
-		if f.finishedEnds&targetFinished == 0 {
-			ended = append(ended, EndedFlow{ID: id, Acknowledged: f.acknowledged})
-		}
-		r.deleteFlow(id, f)
-	}
-	return ended
+	return r.endFlows(func(f *flowEntry) bool { return f.isServed && !f.acceptedAt.After(by) && !isKept(f) })
 }
 
 // TakeEndedFlows returns the open flows that have ended since the last call because a bounced packet proved that the target had stopped.
--- a/internal/opaque/resident/successor.go
+++ b/internal/opaque/resident/successor.go
@@ -19,17 +19,18 @@
 	maxReplaced   = 16
 )
 
-// incarnation identifies a start of a target.
-type incarnation struct {
-	instance string
-	started  int64
+// Incarnation identifies a start of a target. Started is in Unix milliseconds, or 0 when it is not known.
+type Incarnation struct {
+	Instance string
+	Started  int64
 }
 
-func (h *Heartbeat) incarnation() incarnation { return incarnation{h.Instance, h.Started} }
+// Incarnation returns the incarnation that sent the heartbeat.
+func (h *Heartbeat) Incarnation() Incarnation { return Incarnation{h.Instance, h.Started} }
 
 // successor is an incarnation that may have replaced the known one.
 type successor struct {
-	incarnation incarnation
+	incarnation Incarnation
 	// firstSequence is the lowest sequence of its heartbeats that have arrived, and lastSequence the highest.
 	firstSequence, lastSequence int64
 	// predecessorHeardAt is when the known incarnation had last been heard before the successor was.
@@ -41,21 +42,21 @@
 // findSuccessor returns what is known of another incarnation, one of whose heartbeats has arrived, and reports whether it has replaced
 // the known one.
 func (t *target) findSuccessor(now time.Time, h Heartbeat) (successor, bool) {
-	if !t.isAbsent() && slices.Contains(t.replaced, h.incarnation()) {
+	if !t.isAbsent() && slices.Contains(t.replaced, h.Incarnation()) {
 		return successor{}, false
 	}
-	at := slices.IndexFunc(t.successors, func(s successor) bool { return s.incarnation == h.incarnation() })
+	at := slices.IndexFunc(t.successors, func(s successor) bool { return s.incarnation == h.Incarnation() })
 	isRising := at >= 0 && h.Sequence > t.successors[at].lastSequence
 	if at < 0 {
 		t.successors = append(t.successors, successor{
-			incarnation: h.incarnation(), firstSequence: h.Sequence, lastSequence: h.Sequence, predecessorHeardAt: t.heartbeatAt,
+			incarnation: h.Incarnation(), firstSequence: h.Sequence, lastSequence: h.Sequence, predecessorHeardAt: t.heartbeatAt,
 		})
 		t.successors = t.successors[max(0, len(t.successors)-maxSuccessors):]
 		at = len(t.successors) - 1
 	}
 	s := &t.successors[at]
 	s.firstSequence, s.lastSequence = min(s.firstSequence, h.Sequence), max(s.lastSequence, h.Sequence)
-	isFirst, isLater := h.Sequence <= maxFirstSequence, h.Started > t.lastHeartbeat.Started
+	isFirst, isLater := h.Sequence <= MaxFirstSequence, h.Started > t.lastHeartbeat.Started
 	if isFirst && isLater || t.isAbsent() && (isFirst || isLater) {
 		return *s, true
 	}
@@ -80,7 +81,7 @@
 
 // recordReplaced records that the known incarnation has been replaced. Its late heartbeats are ignored while its successor lives.
 func (t *target) recordReplaced() {
-	t.replaced = append(t.replaced, t.lastHeartbeat.incarnation())
+	t.replaced = append(t.replaced, t.lastHeartbeat.Incarnation())
 	t.replaced = t.replaced[max(0, len(t.replaced)-maxReplaced):]
 	t.successors = nil
 }
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -80,7 +80,7 @@
 	coldUntil time.Time
 	// successors are other incarnations that may have replaced the known one, and replaced are those that others have replaced.
 	successors []successor
-	replaced   []incarnation
+	replaced   []Incarnation
 }
 
 // isAbsent reports whether there is no target: it has reported that it shuts down, or it has timed out.
@@ -162,7 +162,7 @@
 	}
 	if isNew {
 		// Otherwise the new incarnation may have accepted flows before a late heartbeat of the earlier one.
-		if t.isConfirmed && next.firstSequence <= maxFirstSequence {
+		if t.isConfirmed && next.firstSequence <= MaxFirstSequence {
 			ended = r.endFlowsAcceptedBy(next.predecessorHeardAt)
 		}
 		t.previousInstance, t.instanceChangedAt = t.lastHeartbeat.Instance, now
@@ -195,7 +195,7 @@
 
 // isNewIncarnation reports whether a heartbeat is of another incarnation than the last one.
 func (t *target) isNewIncarnation(h Heartbeat) bool {
-	return h.incarnation() != t.lastHeartbeat.incarnation()
+	return h.Incarnation() != t.lastHeartbeat.Incarnation()
 }
 
 // Tick records that one tick has passed. When the target has given no sign of life for maxSilentTicks, its flows are lost.
--- a/internal/opaque/sidecar/record_test.go
+++ b/internal/opaque/sidecar/record_test.go
@@ -126,7 +126,7 @@
 	g.Expect(key).NotTo(HavePrefix(registry.KeyPrefix), "balancers would list the records")
 	r := record.Record{
 		Agent: s.self, Service: desired.ServiceKeyOf("pedidos"), WrittenAt: now.Add(-3 * time.Second),
-		Incarnation: record.Incarnation{Instance: "i-0", Started: now.Add(-time.Minute).UnixMilli()},
+		Incarnation: resident.Incarnation{Instance: "i-0", Started: now.Add(-time.Minute).UnixMilli()},
 		Flows: []record.Flow{
 			{ID: callerFlow(40001), Acknowledged: 70_000}, {ID: callerFlow(40002), Acknowledged: 80_000},
 			{ID: callerFlow(40003), Acknowledged: 90_000},
