--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -17,7 +17,8 @@
 var hasTrouble = os.Getenv("TROUBLE") != "0"
 
 var cases = map[string]func(d *deployment){
-	"late-heartbeats": lateHeartbeats,
+	"late-heartbeats":   lateHeartbeats,
+	"route-added-again": routeAddedAgain,
 }
 
 func main() {
