--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(d *deployment){
 	"late-heartbeats":   lateHeartbeats,
 	"route-added-again": routeAddedAgain,
+	"old-flow":          oldFlow,
 }
 
 func main() {
