--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -20,6 +20,7 @@
 	"late-heartbeats":   lateHeartbeats,
 	"route-added-again": routeAddedAgain,
 	"old-flow":          oldFlow,
+	"port-used-again":   portUsedAgain,
 }
 
 func main() {
