--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -21,6 +21,7 @@
 	"route-added-again": routeAddedAgain,
 	"old-flow":          oldFlow,
 	"port-used-again":   portUsedAgain,
+	"idle-flow":         idleFlow,
 }
 
 func main() {
