--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -22,6 +22,7 @@
 	"old-flow":          oldFlow,
 	"port-used-again":   portUsedAgain,
 	"idle-flow":         idleFlow,
+	"foreign-entry":     foreignEntry,
 }
 
 func main() {
