--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # It needs the build of deploy/system.toml and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/harness-2 ] && [ -x target/gentian-balancer ] && [ -x target/gentian-agent ] || exit 2
-exec target/review-2/harness-2 late-heartbeats review/6
+exec target/review-2/harness-2 old-flow review/6
--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -54,6 +54,9 @@
 	version   int
 
 	balancers, agents []*machine
+	// processMu guards the starts of processes. isStopped is set once no more may be started.
+	processMu sync.Mutex
+	isStopped bool
 	// idleTimeout is idle_timeout_ms of the configuration.
 	idleTimeout time.Duration
 
@@ -152,6 +155,9 @@
 
 // stop ends all processes.
 func (d *deployment) stop() {
+	d.processMu.Lock()
+	d.isStopped = true
+	d.processMu.Unlock()
 	for _, m := range slices.Concat(d.balancers, d.agents) {
 		m.kill()
 	}
@@ -188,6 +194,8 @@
 		m.addr(portData), m.addr(portReady), m.addr(portPeer), d.store.Address(), strings.Join(seeds, ","), m.addr(portMetrics))
 	m.args = []string{"target/gentian-balancer", "opaque", "--settings", m.writeSettings(settings)}
 	m.start()
+	d.routerMu.Lock()
+	defer d.routerMu.Unlock()
 	d.balancers = append(d.balancers, m)
 	return m
 }
@@ -216,26 +224,40 @@
 }
 
 func (m *machine) start() {
+	m.d.processMu.Lock()
+	defer m.d.processMu.Unlock()
+	if m.d.isStopped {
+		return
+	}
 	m.runs++
 	output, err := os.Create(filepath.Join(m.d.dir, fmt.Sprintf("%s-%d.out", m.name, m.runs)))
-	m.d.must(err)
+	if err != nil {
+		m.d.log("%s does not start: %v", m.name, err)
+		return
+	}
 	defer func() { _ = output.Close() }()
-	m.command = exec.CommandContext(context.Background(), m.args[0], m.args[1:]...)
-	m.command.Env = append(append(os.Environ(), "GENTIANSWITCH_BOOT="+m.args[3]), m.env...)
-	m.command.Stdout, m.command.Stderr = output, output
-	m.d.must(m.command.Start())
-	m.exited = make(chan struct{})
-	go func(command *exec.Cmd, exited chan struct{}) {
+	command, exited := exec.CommandContext(context.Background(), m.args[0], m.args[1:]...), make(chan struct{})
+	command.Env = append(append(os.Environ(), "GENTIANSWITCH_BOOT="+m.args[3]), m.env...)
+	command.Stdout, command.Stderr = output, output
+	if err := command.Start(); err != nil {
+		m.d.log("%s does not start: %v", m.name, err)
+		return
+	}
+	m.command, m.exited = command, exited
+	go func() {
 		_ = command.Wait()
 		close(exited)
-	}(m.command, m.exited)
+	}()
 	m.d.log("%s starts at %s: %s", m.name, m.ip, strings.Join(m.args[:2], " "))
 }
 
 func (m *machine) kill() {
-	if m.command != nil {
-		_ = m.command.Process.Kill()
-		<-m.exited
+	m.d.processMu.Lock()
+	command, exited := m.command, m.exited
+	m.d.processMu.Unlock()
+	if command != nil {
+		_ = command.Process.Kill()
+		<-exited
 	}
 }
 
--- a/review/harness-2/route_added_again.go
+++ b/review/harness-2/route_added_again.go
@@ -54,7 +54,7 @@
 			}
 		}
 	}
-	end := time.Now().Add(85 * time.Second)
+	end := time.Now().Add(95 * time.Second)
 	c := d.newClient()
 	var wg sync.WaitGroup
 	for i := range 48 {
@@ -93,13 +93,19 @@
 		}
 		mu.Unlock()
 		time.Sleep(randomBetween(1400, 1900))
+		if hasTrouble {
+			d.configure(services, withoutRoute(4500)...)
+		} else {
+			d.configure(services, withRoute(4500)...)
+		}
+		time.Sleep(randomBetween(350, 500))
 		acknowledged := d.configure(services, withRoute(5000)...)
 		if hasTrouble {
 			mu.Lock()
 			addedAt = acknowledged
 			mu.Unlock()
 		}
-		time.Sleep(randomBetween(2000, 2700))
+		time.Sleep(randomBetween(3500, 4200))
 	}
 	wg.Wait()
 	for _, h := range hosts {
