Log the evidence of each reset of an opaque flow

A reset said which process sent it, and a balancer's also why, but not on what the decision rested.

Event 211 (balancer) now has the age of the table in force and of the last read of all targets. Event 217 (agent) has the evidence from which the agent concluded that the flow was lost, and the flow's age. Each reset still writes one line.

The names of the causes are in resident.EndCause. No decision changes.

--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -9,8 +9,10 @@
 			"revision of the target's entry entry_ms ago, and the agent last answered a ping pong_ms ago; -1 means never.",
 		"flow", "copies", "route", "agent", "candidates", "reason", "configuration", "revision", "entry_ms", "pong_ms")
 	OpaqueFlowReset = define(211, logrus.InfoLevel, "opaque flow reset",
-		"The caller was sent a reset: its flow is not served. When opens is set, no request of the flow has run.",
-		"flow", "opens", "route", "reason", "configuration", "targets")
+		"The caller was sent a reset: its flow is not served. When opens is set, no request of the flow has run. The configuration "+
+			"is in force at this balancer since table_ms, and the last read of all targets that its view includes began view_ms "+
+			"ago; -1 means never.",
+		"flow", "opens", "route", "reason", "configuration", "table_ms", "targets", "view_ms")
 	OpaqueFlowForwarded = define(212, logrus.InfoLevel, "opaque flow passed on",
 		"An agent did not offer an opening packet to its target, or the target declined it. The agent forwarded it to the next "+
 			"candidate or, when next is empty, returned it to the balancer.",
@@ -23,8 +25,9 @@
 	OpaqueFlowEnded = define(217, logrus.InfoLevel, "opaque flow ended with its target",
 		"The target has stopped, or restarted as instance, and no longer holds a flow that it has served. When told is set, the "+
 			"agent has sent a reset to the caller; otherwise the other targets are tried first. It is not known whether the last "+
-			"request of the flow has run.",
-		"flow", "former", "instance", "told")
+			"request of the flow has run. The reason is the evidence: succession, silence, bounced_packet, refused_connection or "+
+			"recorded. The target accepted the flow flow_ms ago; -1 means that this is not known.",
+		"flow", "former", "instance", "told", "reason", "flow_ms")
 	OpaqueFlowWaits = define(218, logrus.InfoLevel, "opaque flow waits",
 		"An opening packet waits at the agent, since the target has just joined or has no room. Until its service times are known, it "+
 			"has room for twice as many flows as slots. Less urgent routes wait sooner. Its last heartbeat arrived heartbeat_ms ago; -1 means never.",
--- a/internal/opaque/forwarder/clock.go
+++ b/internal/opaque/forwarder/clock.go
@@ -16,3 +16,12 @@
 	}
 	return time.Duration(t.Nano()), nil
 }
+
+// bootAge returns the milliseconds since a time since boot, for logs, or -1 if that time is zero or the clock cannot be read.
+func bootAge(at time.Duration) int64 {
+	now, err := bootTime()
+	if err != nil || at == 0 {
+		return -1
+	}
+	return (now - at).Milliseconds()
+}
--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -102,9 +102,13 @@
 // sendReset sends the caller a reset, because its flow is not served.
 func (f *Forwarder) sendReset(p *flow.Packet, d steer.Decision) {
 	id := p.IDFromCaller()
+	f.mu.Lock()
+	tableSince, viewReadAt := f.steer.TableSince(), f.freshness.readStartedAt()
+	f.mu.Unlock()
 	f.deps.Log.Emit(events.OpaqueFlowReset, events.F("flow", id.String()), events.F("opens", p.Opens),
 		events.F("route", routeName(d)), events.F("reason", d.Reason.String()),
-		events.F("configuration", f.configurationVersion()), events.F("targets", f.targetCount()))
+		events.F("configuration", f.configurationVersion()), events.Age("table_ms", time.Now(), tableSince),
+		events.F("targets", f.targetCount()), events.F("view_ms", bootAge(viewReadAt)))
 	var buffer [64]byte
 	f.sendToCaller(id, f.deps.Codec.AppendReset(buffer[:0], id, p.Acknowledged))
 }
--- a/internal/opaque/forwarder/revalidate.go
+++ b/internal/opaque/forwarder/revalidate.go
@@ -41,6 +41,9 @@
 	v.expiresAt = max(v.expiresAt, readStartedAt+registry.JoinDelay)
 }
 
+// readStartedAt returns the start of the latest store read that the view includes, or zero before the first one.
+func (v *viewFreshness) readStartedAt() time.Duration { return max(v.expiresAt-registry.JoinDelay, 0) }
+
 func (v *viewFreshness) isFreshAt(now time.Duration) bool { return now < v.expiresAt }
 
 // isViewFresh reports whether the view includes the target of every flow that is open now.
--- a/internal/opaque/resident/flows.go
+++ b/internal/opaque/resident/flows.go
@@ -178,6 +178,30 @@
 	ID flow.ID
 	// Acknowledged is the sequence number that the caller last acknowledged. The caller accepts a reset that carries it.
 	Acknowledged uint32
+	// AcceptedAt is when the target accepted the flow, or the zero time if that is not known.
+	AcceptedAt time.Time
+}
+
+// EndCause is the evidence from which an agent has concluded that flows were lost with their target.
+type EndCause uint8
+
+// The causes.
+const (
+	// Succession means that another incarnation of the target has sent its first heartbeats.
+	Succession EndCause = iota + 1
+	// Silence means that the target has given no sign of life for too long.
+	Silence
+	// BouncedPacket means that the target has bounced data of a flow that it had just served.
+	BouncedPacket
+	// RefusedConnection means that no process listens at the address of a target whose heartbeat is overdue.
+	RefusedConnection
+	// Recorded means that the flows are those of a record in the store, and that the target has started again since.
+	Recorded
+)
+
+// String returns the name that logs use.
+func (c EndCause) String() string {
+	return [...]string{"none", "succession", "silence", "bounced_packet", "refused_connection", "recorded"}[c]
 }
 
 // Sweep removes flows that have finished and flows that may be discarded because no packet has come for flowLifetime. Flows
@@ -212,7 +236,7 @@
 			continue
 		}
 		if f.isOpen && f.finishedEnds&targetFinished == 0 {
-			ended = append(ended, EndedFlow{ID: id, Acknowledged: f.acknowledged})
+			ended = append(ended, EndedFlow{ID: id, Acknowledged: f.acknowledged, AcceptedAt: f.acceptedAt})
 		}
 		r.deleteFlow(id, f)
 	}
--- a/internal/opaque/resident/lost.go
+++ b/internal/opaque/resident/lost.go
@@ -48,8 +48,8 @@
 func (r *Machine) endFlowsByBounce(f *flowEntry, mark uint32) {
 	by := r.lastAnswerOfIncarnation(r.startedAt.Add(f.answeredAt), mark)
 	r.endedByBounce = Outcome{
-		PreviousInstance: r.target.instanceAt(f.acceptedAt),
-		EndedFlows:       r.endServedFlows(by, func(other *flowEntry) bool { return other.hasAnsweredSince(mark) }),
+		PreviousInstance: r.target.instanceAt(f.acceptedAt), Cause: BouncedPacket,
+		EndedFlows: r.endServedFlows(by, func(other *flowEntry) bool { return other.hasAnsweredSince(mark) }),
 	}
 }
 
--- a/internal/opaque/resident/lost_test.go
+++ b/internal/opaque/resident/lost_test.go
@@ -168,7 +168,9 @@
 	g.Expect([]any{d.Verdict, d.Reason, d.Next}).To(Equal([]any{resident.ForwardNext, resident.Forgotten, next}))
 	outcome := r.TakeEndedFlows()
 	g.Expect(outcome.PreviousInstance).To(Equal("i-1"))
-	g.Expect(outcome.EndedFlows).To(Equal([]resident.EndedFlow{{ID: dataPacket(1, 1).IDFromCaller(), Acknowledged: 5000}}))
+	g.Expect(outcome.EndedFlows).To(Equal([]resident.EndedFlow{
+		{ID: dataPacket(1, 1).IDFromCaller(), Acknowledged: 5000, AcceptedAt: after(10)},
+	}))
 }
 
 // Each case guards against the failure that its line names. The last heartbeat came at 0 ms, and flow 1 was served at 10 ms.
--- a/internal/opaque/resident/probe.go
+++ b/internal/opaque/resident/probe.go
@@ -49,8 +49,8 @@
 	}
 	p.isProven = true
 	return Outcome{
-		PreviousInstance: t.lastHeartbeat.Instance,
-		EndedFlows:       r.endServedFlows(p.startedAt, func(*flowEntry) bool { return false }),
+		PreviousInstance: t.lastHeartbeat.Instance, Cause: RefusedConnection,
+		EndedFlows: r.endServedFlows(p.startedAt, func(*flowEntry) bool { return false }),
 	}
 }
 
--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -138,6 +138,8 @@
 	// instance before the heartbeat or tick.
 	EndedFlows       []EndedFlow
 	PreviousInstance string
+	// Cause is why flows have ended. It has no meaning without EndedFlows.
+	Cause EndCause
 }
 
 // HandleHeartbeat records a heartbeat of the target. The first heartbeat of a new incarnation ends the flows that the earlier
@@ -174,7 +176,7 @@
 	t.coldUntil = now.Add(h.WarmupLeft)
 	t.resetSuccessorTicks()
 	t.recordSignOfLife(now)
-	return Outcome{HasChanged: before != r.Entry(), EndedFlows: ended, PreviousInstance: previousInstance}
+	return Outcome{HasChanged: before != r.Entry(), EndedFlows: ended, PreviousInstance: previousInstance, Cause: Succession}
 }
 
 // extendColdness records a heartbeat that is otherwise ignored, because it may be of an earlier incarnation. It may also be of a cold
@@ -213,6 +215,7 @@
 	r.markFlowTableIncomplete(now)
 	return Outcome{
 		HasChanged: before != r.Entry(), EndedFlows: r.endFlowsAcceptedBy(now), PreviousInstance: t.lastHeartbeat.Instance,
+		Cause: Silence,
 	}
 }
 
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -127,10 +127,12 @@
 	}
 	s.deps.Log.Emit(events.OpaqueFlowsLost, events.F("instance", outcome.PreviousInstance),
 		events.F("flows", len(outcome.EndedFlows)))
+	now := time.Now()
 	var buffer [64]byte
 	for _, f := range outcome.EndedFlows {
 		s.deps.Log.Emit(events.OpaqueFlowEnded, events.F("flow", f.ID.String()), events.F("former", outcome.PreviousInstance),
-			events.F("instance", instance), events.F("told", true))
+			events.F("instance", instance), events.F("told", true), events.F("reason", outcome.Cause.String()),
+			events.Age("flow_ms", now, f.AcceptedAt))
 		packet := s.deps.Codec.AppendReset(buffer[:0], f.ID, f.Acknowledged)
 		s.send(packet, callerAddress(f.ID, s.settings.Data.Port()))
 	}
--- a/internal/opaque/sidecar/packets.go
+++ b/internal/opaque/sidecar/packets.go
@@ -146,7 +146,7 @@
 // logForgotten logs that the target no longer holds a flow that it, or the instance before it, has served.
 func (s *Sidecar) logForgotten(p *flow.Packet, previousInstance string) {
 	s.deps.Log.Emit(events.OpaqueFlowEnded, events.F("flow", p.IDFromCaller().String()), events.F("former", previousInstance),
-		events.F("told", false))
+		events.F("told", false), events.F("reason", resident.BouncedPacket.String()))
 }
 
 // logWait logs that an opening packet waits. The caller holds mu.
--- a/internal/opaque/sidecar/record.go
+++ b/internal/opaque/sidecar/record.go
@@ -97,7 +97,9 @@
 	s.counters.recordResets.Inc(int64(len(ended)))
 	s.deps.Log.Emit(events.RecordedFlowsLost, events.F("former", r.Incarnation.Instance), events.F("instance", instance),
 		events.F("flows", len(ended)), events.F("excluded", len(r.Flows)-len(ended)), events.Age("record_ms", now, r.WrittenAt))
-	s.resetEndedFlows(instance, resident.Outcome{EndedFlows: ended, PreviousInstance: r.Incarnation.Instance})
+	s.resetEndedFlows(instance, resident.Outcome{
+		EndedFlows: ended, PreviousInstance: r.Incarnation.Instance, Cause: resident.Recorded,
+	})
 }
 
 // writeRecord writes the record if that is due. It returns flows, extended for the next call.
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -99,7 +99,9 @@
 type Machine struct {
 	self  hop.IP
 	table *desired.Table
-	view  *directory.View
+	// tableSince is when table came into force.
+	tableSince time.Time
+	view       *directory.View
 	// epoch changes with the table and the view, since both determine the order of candidates.
 	epoch     uint16
 	history   serviceHistory
@@ -119,6 +121,9 @@
 // Table returns the table in force, or nil if there is none yet.
 func (s *Machine) Table() *desired.Table { return s.table }
 
+// TableSince returns when the table in force came into force, or the zero time if there is none.
+func (s *Machine) TableSince() time.Time { return s.tableSince }
+
 // SetView replaces the view of the targets.
 func (s *Machine) SetView(view *directory.View) {
 	if view != s.view {
@@ -152,7 +157,7 @@
 	if s.table == nil || s.table.Version < h.From {
 		s.history.from, s.history.since = h.From, now.Add(-h.KnownFor)
 	}
-	s.table = table
+	s.table, s.tableSince = table, now
 	s.history.merge(now, table.Version, h)
 	s.epoch++
 	return true
