An old flow that a target discards does not end its other flows

What callers saw: a target that discarded one flow for its age lost all others that it had served.

Cause: a bounced packet of a flow that was just served counts as proof that the target has ended. A target may also discard a flow that is older than flow-lifetime while its caller uses it. The bound on idle flows was there, one on the age was not.

Change: a bounce proves nothing once the flow is within 5 s of its lifetime. The margin covers a process that has first seen a late copy of the opening packet, and a VM that was suspended. Why it works: below that age, a running target may bounce the flow only if it was idle, finished or reset, and these are excluded already.

--- a/internal/opaque/proof/lost_test.go
+++ b/internal/opaque/proof/lost_test.go
@@ -1,6 +1,8 @@
 package proof
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +35,7 @@
 	actions["a bounce is delayed"] = func(*rapid.T) { h.delayBounce() }
 	actions["the delayed bounces arrive"] = func(*rapid.T) { h.deliverBounces() }
 	actions["a target closes a flow"] = func(*rapid.T) { h.closeFlow() }
+	actions["targets discard old flows"] = func(*rapid.T) { h.discardOldFlows() }
 	actions["a heartbeat is overdue"] = func(*rapid.T) { h.probe(h.drawHost()) }
 	actions["a stopped target is probed"] = func(*rapid.T) { h.probeStopped() }
 	return actions
@@ -100,6 +103,22 @@
 	}
 }
 
+// discardOldFlows lets all targets discard the flows that have reached their lifetime, between two requests of their callers.
+func (h *lossHistory) discardOldFlows() {
+	h.advanceTime(flowLifetime / 2)
+	recent := slices.Clone(h.openFlows[max(0, len(h.openFlows)-5):])
+	h.openFlow()
+	for _, id := range recent {
+		h.sendDataOf(id)
+	}
+	for _, at := range h.hosts {
+		maps.DeleteFunc(at.flows, func(id flow.ID, _ bool) bool { return h.now.Sub(h.openedAt[id]) >= flowLifetime })
+	}
+	for _, id := range recent {
+		h.sendDataOf(id)
+	}
+}
+
 // probe lets a heartbeat of a target be overdue. Its agent tries to connect, while the target may start again and accept flows.
 func (h *lossHistory) probe(at *host) {
 	h.advanceTime(heartbeatInterval + heartbeatInterval/4)
@@ -122,7 +141,7 @@
 }
 
 // TestProofsOfALostTargetEndNoHeldFlow checks the properties of TestOpenFlowsReachTheirTargets while bounces are late or doubled, targets
-// close flows and refuse connections. It guards against an agent that takes one of these for the end of a running incarnation and resets
+// close flows, discard old ones and refuse connections. It guards against an agent that takes one of these for the end of a running incarnation and resets
 // its flows. At least one flow in two histories must have ended in this way, so that the property is not met by never ending any.
 func TestProofsOfALostTargetEndNoHeldFlow(t *testing.T) {
 	histories, ended := 0, 0
--- a/internal/opaque/resident/lost.go
+++ b/internal/opaque/resident/lost.go
@@ -7,14 +7,18 @@
 	"gentianswitch/internal/opaque/flow"
 )
 
-// A bounced packet proves that an incarnation of the target has ended if the target held the flow a short time ago and nobody has
-// closed it: a running target bounces no data of a flow that it holds, and answers data of a flow that it has closed with a reset. The
-// incarnation has then ended after the last data that it sent, and every flow that it had accepted by that time is lost.
+// A bounced packet proves that an incarnation of the target has ended if the target held the flow a short time ago, nobody has
+// closed it, and the target had no right to discard it: a running target bounces no data of a flow that it holds, and answers data of a
+// flow that it has closed with a reset. It may discard flows that are idle or old. The incarnation has then ended after the last data
+// that it sent, and every flow that it had accepted by that time is lost.
 
 const (
 	// maxAnsweredAge is the age from which the last answer on a flow is too old for its bounce to be a proof. Targets may close flows
 	// that are idle for 12 s, and forget them later. The bound is less than half of that, since packets can be delayed.
 	maxAnsweredAge = 5 * time.Second
+	// maxAgeError is the time by which a flow may be older than the agent knows. A process that starts may first see a late copy of
+	// the opening packet (openingRetryPeriod), and the clock of the process stands still while its VM is suspended.
+	maxAgeError = 5 * time.Second
 	// maxSequenceDistance is the distance from the target's last data within which a caller's acknowledgement belongs to the same flow.
 	// A packet of an earlier flow of the same port can be late.
 	maxSequenceDistance = flow.ResetWindow
@@ -39,6 +43,9 @@
 	if !isData || !f.isServed || !f.hasAnswered || f.finishedEnds != 0 || f.hasAnsweredSince(p.Mark) {
 		return false
 	}
+	if now.Sub(f.createdAt) >= r.flowLifetime-maxAgeError {
+		return false
+	}
 	answeredAt, distance := r.startedAt.Add(f.answeredAt), int32(p.Acknowledged-f.answeredUpTo)
 	isRecent := !f.acceptedAt.After(answeredAt) && now.Sub(answeredAt) <= maxAnsweredAge
 	return isRecent && -maxSequenceDistance <= distance && distance <= maxSequenceDistance
--- a/internal/opaque/resident/lost_test.go
+++ b/internal/opaque/resident/lost_test.go
@@ -59,6 +59,25 @@
 		"an old answer counts: the target may have closed the idle flow": {func(_ Gomega, r *resident.Machine) []uint16 {
 			return bounce(r, 5200, dataPacket(2, 300))
 		}, nil},
+		"a flow counts that the target has discarded for its age": {func(_ Gomega, r *resident.Machine) []uint16 {
+			lifetime := int(flowLifetime.Milliseconds())
+			serve(r, lifetime-100, 2, 300)
+			return bounce(r, lifetime, dataPacket(2, 400))
+		}, nil},
+		"a flow counts that is older than the agent knows: it has seen only a late copy of the opening packet": {
+			func(_ Gomega, r *resident.Machine) []uint16 {
+				lifetime := int(flowLifetime.Milliseconds())
+				serve(r, lifetime-2100, 2, 300)
+				return bounce(r, lifetime-2000, dataPacket(2, 400))
+			}, nil,
+		},
+		"the flows of a lost target stay open because another one is old, but younger than its lifetime": {
+			func(_ Gomega, r *resident.Machine) []uint16 {
+				lifetime := int(flowLifetime.Milliseconds())
+				serve(r, lifetime-5100, 2, 300)
+				return bounce(r, lifetime-5000, dataPacket(2, 400))
+			}, []uint16{1},
+		},
 		"the bounced opening packet of a new flow with the same port counts": {func(_ Gomega, r *resident.Machine) []uint16 {
 			return bounce(r, 200, openingPacket(2))
 		}, nil},
