A table is the newest only if a read after the packet's arrival says so

Cause: a balancer reset an open flow for want of a route once its own table had lacked the route for a second. That says nothing about a newer table, which may have come into force elsewhere just now.

Change: such a packet waits until a read of the store that began after its arrival shows that no newer table exists (verdict ConfirmTable). One reader of a group reads for all, with a watch call without a wait, at most every 60 ms and only while such packets arrive. A balancer that is behind drops the packet, which its caller repeats, and fetches the newer table at once. While a restored store is not settled, nothing is confirmed. Why it works: a flow that is open when its packet arrives was opened by a table that the store held by then.

Related paths, by the same means: a search that does not include every service (more than 16) also needs the newest table before it ends in a reset, and so does an opening packet without a route that another target may have accepted. Callers of a removed route now get their reset with the next packet, also from a balancer that has started since; it was silent before.

--- a/integration/opaque_moved_test.go
+++ b/integration/opaque_moved_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"net/netip"
+	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"gentianswitch/platform/standin"
 )
 
 var _ = Describe("A route that moves to another service", func() {
@@ -52,3 +56,41 @@
 		Eventually(last.logText).WithTimeout(opaqueWaitLimit).Should(ContainSubstring(fmt.Sprintf(`"known_from":%d`, first)))
 	})
 })
+
+var _ = Describe("A route that is removed", func() {
+	otherRoute := map[netip.AddrPort]string{netip.MustParseAddrPort("198.18.0.9:443"): "lines"}
+
+	// Guards against resets of open flows by a balancer that is behind: its table has lacked the route for a while, and it does not have
+	// the one yet that adds the route again.
+	It("and added again keeps the flows opened since, also through a balancer that is behind", func() {
+		d := newOpaqueDeployment(2, 1)
+		router, behind := d.balancers[0], d.balancers[1]
+		d.configure(otherRoute)
+		d.expectInForce(d.balancers...)
+		behind.signal(syscall.SIGSTOP)
+		time.Sleep(1200 * time.Millisecond)
+		d.configure(map[netip.AddrPort]string{opaqueAddress: "lines"})
+		c := d.newCaller(func() *opaqueProcess { return router })
+		Eventually(c.Open).WithTimeout(opaqueWaitLimit).Should(Succeed())
+		Expect(c.SendRequest("through the first balancer")).To(Equal(d.targets[0].Name))
+		router = behind
+		time.AfterFunc(100*time.Millisecond, func() { behind.signal(syscall.SIGCONT) })
+		Expect(c.SendRequest("through the one that is behind")).To(Equal(d.targets[0].Name))
+	})
+
+	// Guards against callers who wait for their deadline because a balancer has not seen the removal itself.
+	It("ends its open flows with a reset, also by a balancer that has started since", func() {
+		d := newOpaqueDeployment(1, 1)
+		c, later := d.newCaller(alwaysVia(d.balancers[0])), d.newCaller(alwaysVia(d.balancers[0]))
+		Expect(c.Open()).To(Succeed())
+		Expect(later.Open()).To(Succeed())
+		d.configure(otherRoute)
+		d.expectInForce(d.balancers...)
+		_, err := c.SendRequest("after the removal")
+		Expect(err).To(MatchError(standin.ErrReset))
+		d.balancers[0].restart()
+		Eventually(func() bool { return d.isReady(d.balancers[0]) }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+		_, err = later.SendRequest("after the start")
+		Expect(err).To(MatchError(standin.ErrReset))
+	})
+})
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -33,7 +33,8 @@
 			"has room for twice as many flows as slots. Less urgent routes wait sooner. Its last heartbeat arrived heartbeat_ms ago; -1 means never.",
 		"flow", "copies", "deferral", "waiting", "busy", "slots", "heartbeat_ms")
 	OpaquePendingPacketsDropped = define(216, logrus.WarnLevel, "opaque packets given up",
-		"These packets were dropped: no candidate holds their flows, and the targets could not be revalidated. No flow was reset.",
+		"These packets were dropped: no candidate holds their flows, or no route leads to their address, and it could not be made "+
+			"sure that no target or newer configuration is missing here. No flow was reset.",
 		"packets", "error")
 	OpaquePacketLost = define(215, logrus.WarnLevel, "opaque packet dropped",
 		"A packet of an open flow was dropped: no candidate holds the flow, and the view of the targets is incomplete.",
--- a/internal/opaque/crest/balancers.go
+++ b/internal/opaque/crest/balancers.go
@@ -125,7 +125,8 @@
 		s.sendToAgent(d.Agent, b.zone, p, &d.Header)
 	case steer.Reset:
 		s.scheduleAfter(s.profile.CallerDelay, func() { s.resetFlow(p.IDFromCaller()) })
-	case steer.Revalidate:
+	case steer.Revalidate, steer.ConfirmTable:
+		// The table of the simulation never changes, so it is current.
 		b.revalidate(p, d.Header)
 	case steer.Drop:
 	}
@@ -136,14 +137,14 @@
 func (b *balancer) revalidate(p *flow.Packet, h hop.Header) {
 	s := b.sim
 	if s.now-b.lastReadAt < registry.JoinDelay {
-		b.execute(p, b.steer.HandleRevalidated(s.wallTime(), p, &h))
+		b.execute(p, b.steer.HandleTableConfirmed(s.wallTime(), p, &h))
 		return
 	}
 	readAt := s.now
 	s.scheduleAfter(storeReadTime, func() {
 		if b.isUp {
 			b.lastReadAt = readAt
-			b.execute(p, b.steer.HandleRevalidated(s.wallTime(), p, &h))
+			b.execute(p, b.steer.HandleTableConfirmed(s.wallTime(), p, &h))
 		}
 	})
 }
@@ -154,7 +155,7 @@
 		return
 	}
 	if h.Kind == hop.Refused {
-		b.execute(p, b.steer.HandleRefused(b.sim.wallTime(), p, h))
+		b.execute(p, b.steer.HandleRefused(p, h))
 		return
 	}
 	b.execute(p, b.steer.HandleReturned(b.sim.wallTime(), p, h))
--- a/internal/opaque/forwarder/forwarder.go
+++ b/internal/opaque/forwarder/forwarder.go
@@ -35,7 +35,7 @@
 	"gentianswitch/internal/store"
 )
 
-// maxServedRequests bounds the revision requests of other balancers that this reader serves at the same time.
+// maxServedRequests bounds the requests of other balancers that this reader serves at the same time.
 const maxServedRequests = 256
 
 // Settings are the addresses and times that a forwarder is configured with.
@@ -135,9 +135,11 @@
 	// bounds the requests of the group that wait for a read.
 	lastChange     readCoalescer[store.Version]
 	servedRequests *semaphore.Weighted
-	// revisionReplies are the answers of readers, and requestSequence is the sequence number of the last request. Only
+	// newestTable reads the version of the newest table, for this balancer and its group.
+	newestTable readCoalescer[uint64]
+	// readerReplies are the answers of readers, and requestSequence is the sequence number of the last request. Only
 	// revalidatePending uses requestSequence.
-	revisionReplies *ring.Ring[revisionReply]
+	readerReplies   *ring.Ring[readerReply]
 	requestSequence uint16
 
 	isStopping atomic.Bool
@@ -155,7 +157,8 @@
 		settlement: registry.NewSettlement(registry.SpreadDelay(self, registry.MaxSettleDelay)),
 	}
 	f.lastChange.read, f.lastChange.clock, f.lastChange.minInterval = f.readLastChange, bootTime, minReadInterval
-	f.servedRequests, f.revisionReplies = semaphore.NewWeighted(maxServedRequests), ring.New[revisionReply](1)
+	f.newestTable.read, f.newestTable.clock, f.newestTable.minInterval = f.readNewestTable, bootTime, minReadInterval
+	f.servedRequests, f.readerReplies = semaphore.NewWeighted(maxServedRequests), ring.New[readerReply](1)
 	return f
 }
 
--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -81,6 +81,8 @@
 		f.logDropped(p, d)
 	case steer.Revalidate:
 		f.decideOrRevalidate(p, &d.Header, datagram)
+	case steer.ConfirmTable:
+		f.pendingPackets.TryPut(pendingPacket{datagram: hop.CopyDatagram(datagram), header: d.Header, needsTable: true})
 	}
 }
 
@@ -140,13 +142,13 @@
 	case hop.Returned:
 		f.handleReturned(now, h, body, func(p *flow.Packet) steer.Decision { return f.steer.HandleReturned(now, p, h) })
 	case hop.Refused:
-		f.handleReturned(now, h, body, func(p *flow.Packet) steer.Decision { return f.steer.HandleRefused(now, p, h) })
+		f.handleReturned(now, h, body, func(p *flow.Packet) steer.Decision { return f.steer.HandleRefused(p, h) })
 	case hop.FlowLocation:
 		f.handleFlowLocation(now, body, agent, desired.ServiceKey(h.Service))
-	case hop.RevisionRequest:
-		f.handleRevisionRequest(h.Sequence, agent)
-	case hop.RevisionReply:
-		f.handleRevisionReply(h.Sequence, body)
+	case hop.RevisionRequest, hop.TableRequest:
+		f.handleReaderRequest(h.Kind, h.Sequence, agent)
+	case hop.RevisionReply, hop.TableReply:
+		f.handleReaderReply(h.Kind, h.Sequence, body)
 	case hop.Pong, hop.GroupStatusNotice:
 		f.handleGroupStatus(now, h, body, agent)
 	default:
--- a/internal/opaque/forwarder/revalidate.go
+++ b/internal/opaque/forwarder/revalidate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,9 +20,6 @@
 	// minReadInterval is the minimum time between the starts of a failed revalidation and the next one, and between those of
 	// two reads of the last change. It is well below the 200 ms after which callers retransmit.
 	minReadInterval = 60 * time.Millisecond
-	// revisionRequestTimeout bounds the wait for a reader's answer. It covers the end of the read in progress and a call to a
-	// healthy store.
-	revisionRequestTimeout = 100 * time.Millisecond
 	// maxSharedReadAge is the maximum age of a store read that a reader shares with its group. A view stays fresh for JoinDelay
 	// after the start of the read, so a balancer that receives the result can use it for about half of that time or longer.
 	maxSharedReadAge = registry.JoinDelay / 2
@@ -78,10 +74,12 @@
 	f.applyDecision(p, d, datagram)
 }
 
-// pendingPacket is a packet that waits for a revalidation, with the header of its exhausted candidate search.
+// pendingPacket is a packet that waits for a revalidation, with the header of its exhausted candidate search. needsTable is set if the
+// table in force has to be confirmed too.
 type pendingPacket struct {
-	datagram []byte
-	header   hop.Header
+	datagram   []byte
+	header     hop.Header
+	needsTable bool
 }
 
 // revalidatePending revalidates the view for pending packets and decides on them, until ctx ends. A store read also serves the
@@ -98,26 +96,52 @@
 		}
 		startedAt := time.Now()
 		if err := f.revalidateView(ctx); err != nil {
-			f.deps.Log.Emit(events.OpaquePendingPacketsDropped, events.F("packets", len(waiting)), events.Err(err))
+			f.dropPending(len(waiting), err)
 			sleep(ctx, minReadInterval-time.Since(startedAt))
 			continue
 		}
-		f.decidePending(waiting)
+		f.decidePending(ctx, waiting)
 	}
 }
 
-// decidePending decides on packets that have waited for a revalidation. The view must be fresh.
-func (f *Forwarder) decidePending(waiting []pendingPacket) {
-	for _, h := range waiting {
-		p, err := f.deps.Codec.Decode(h.datagram)
-		if err != nil {
-			f.counters.malformed.Inc(1)
+// dropPending logs that pending packets are dropped. Their callers repeat them.
+func (f *Forwarder) dropPending(packets int, err error) {
+	f.deps.Log.Emit(events.OpaquePendingPacketsDropped, events.F("packets", packets), events.Err(err))
+}
+
+// decidePending decides on packets that have waited for a revalidation. The view must be fresh. The table is confirmed once for all
+// packets that need it.
+func (f *Forwarder) decidePending(ctx context.Context, waiting []pendingPacket) {
+	var needTable []pendingPacket
+	for _, w := range waiting {
+		if w.needsTable {
+			needTable = append(needTable, w)
 			continue
 		}
-		f.decideRevalidated(&p, &h.header, h.datagram)
+		f.decideOnPending(w, f.decideRevalidated)
+	}
+	if len(needTable) == 0 {
+		return
+	}
+	if err := f.confirmTable(ctx); err != nil {
+		f.dropPending(len(needTable), err)
+		return
+	}
+	for _, w := range needTable {
+		f.decideOnPending(w, f.decideTableConfirmed)
 	}
 }
 
+// decideOnPending calls decide with a pending packet.
+func (f *Forwarder) decideOnPending(w pendingPacket, decide func(*flow.Packet, *hop.Header, []byte)) {
+	p, err := f.deps.Codec.Decode(w.datagram)
+	if err != nil {
+		f.counters.malformed.Inc(1)
+		return
+	}
+	decide(&p, &w.header, w.datagram)
+}
+
 // revalidateView makes the view fresh, unless it is already.
 func (f *Forwarder) revalidateView(ctx context.Context) error {
 	if isFresh, err := f.isViewFresh(); err != nil || isFresh {
@@ -179,8 +203,8 @@
 	reader, isOther := f.readers.PreferredReader(time.Now(), f.isWatching(time.Now()))
 	f.mu.Unlock()
 	if isOther {
-		if latest, ok := f.requestRevision(ctx, reader); ok {
-			return latest, nil
+		if reply, ok := f.requestFromReader(ctx, hop.RevisionRequest, reader); ok {
+			return readResult[store.Version]{value: store.Version(reply.value), startedAt: reply.startedAt}, nil
 		}
 	}
 	return f.lastChange.get(ctx, maxSharedReadAge)
@@ -194,81 +218,3 @@
 	}
 	return item.Version, err
 }
-
-// revisionReply is a reader's answer to a revision request.
-type revisionReply struct {
-	sequence uint16
-	revision store.Version
-	// age is the time from the start of the store read to the answer.
-	age time.Duration
-}
-
-// requestRevision asks a reader for the revision of the last change. It reports false when no answer arrives in time. The start
-// of the reader's store read is computed from the time before the request was sent: the delay of the network must not make the
-// read look newer than it is.
-func (f *Forwarder) requestRevision(ctx context.Context, reader hop.IP) (readResult[store.Version], bool) {
-	var none readResult[store.Version]
-	now, err := bootTime()
-	if err != nil {
-		return none, false
-	}
-	f.requestSequence++
-	h := hop.Header{Kind: hop.RevisionRequest, Origin: f.self, Sequence: f.requestSequence}
-	var buffer [hop.MaxTrailer]byte
-	f.sendFrame(f.peerAt(reader), h.Append(buffer[:0]))
-	ctx, cancel := context.WithTimeout(ctx, revisionRequestTimeout)
-	defer cancel()
-	for {
-		reply, ok := f.revisionReplies.Get(ctx)
-		if !ok {
-			return none, false
-		}
-		if reply.sequence == f.requestSequence {
-			return readResult[store.Version]{value: reply.revision, startedAt: now - reply.age}, true
-		}
-	}
-}
-
-// handleRevisionRequest answers a balancer of the group as soon as a recent enough store read is available.
-func (f *Forwarder) handleRevisionRequest(sequence uint16, from hop.IP) {
-	f.mu.Lock()
-	isWatching := f.isWatching(time.Now())
-	f.mu.Unlock()
-	if !isWatching || !f.servedRequests.TryAcquire(1) {
-		// The requesting balancer times out and reads the store itself.
-		return
-	}
-	go func() {
-		defer f.servedRequests.Release(1)
-		ctx, cancel := context.WithTimeout(context.Background(), revisionRequestTimeout)
-		defer cancel()
-		latest, err := f.lastChange.get(ctx, maxSharedReadAge)
-		if err != nil {
-			return
-		}
-		now, err := bootTime()
-		if err != nil {
-			return
-		}
-		h := hop.Header{Kind: hop.RevisionReply, Origin: f.self, Sequence: sequence}
-		var buffer [hop.MaxTrailer]byte
-		body := binary.BigEndian.AppendUint64(buffer[:0], uint64(latest.value))
-		body = binary.BigEndian.AppendUint32(body, uint32((now - latest.startedAt).Microseconds()))
-		f.sendFrame(f.peerAt(from), h.Append(body))
-	}()
-}
-
-// handleRevisionReply passes a reader's answer to requestRevision.
-func (f *Forwarder) handleRevisionReply(sequence uint16, body []byte) {
-	if len(body) != revisionReplyBytes {
-		f.counters.malformed.Inc(1)
-		return
-	}
-	f.revisionReplies.TryPut(revisionReply{
-		sequence: sequence, revision: store.Version(binary.BigEndian.Uint64(body)),
-		age: time.Duration(binary.BigEndian.Uint32(body[8:])) * time.Microsecond,
-	})
-}
-
-// revisionReplyBytes is the size of the body of a RevisionReply: a revision and an age in microseconds.
-const revisionReplyBytes = 8 + 4
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -34,6 +34,11 @@
 	RevisionRequest
 	// RevisionReply answers a RevisionRequest. Its body is the revision.
 	RevisionReply
+	// TableRequest asks a reader for the version of the newest table of routes, from a read of the store that begins after the request
+	// has arrived. It has no body.
+	TableRequest
+	// TableReply answers a TableRequest. Its body is the version.
+	TableReply
 )
 
 // MaxCandidates bounds the candidates in a frame, so that a caller's largest datagram and the trailer fit an Ethernet frame.
@@ -61,7 +66,7 @@
 	// Service is the desired.ServiceKey of the service that the balancer chose. An agent of another service declines the
 	// datagram. In a FlowLocation it is the service of the sender's target.
 	Service uint64
-	// Sequence matches a Pong with its Ping, and a RevisionReply with its RevisionRequest.
+	// Sequence matches a Pong with its Ping, and the reply of a reader with its request.
 	Sequence uint16
 	// Epoch identifies the balancer's view of the targets and its routes at the start of the candidate search. The epoch
 	// changes whenever one of them does. A balancer that finds its own epoch changed starts the search over.
@@ -169,7 +174,7 @@
 	h.IsRevalidated, h.MayBeOpen, h.MustAccept = kind&revalidatedBit != 0, kind&mayBeOpenBit != 0, kind&mustAcceptBit != 0
 	h.IsDuplicate = kind&duplicateBit != 0
 	candidateBytes := int(h.CandidateCount) * addressBytes
-	if h.CandidateCount > MaxCandidates || len(body) < candidateBytes || h.Kind < Forward || h.Kind > RevisionReply {
+	if h.CandidateCount > MaxCandidates || len(body) < candidateBytes || h.Kind < Forward || h.Kind > TableReply {
 		return nil, ErrMalformed
 	}
 	body, candidates := body[:len(body)-candidateBytes], body[len(body)-candidateBytes:]
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -30,11 +30,14 @@
 	// Revalidate keeps the packet pending until the targets have been read from the store again. Then HandleRevalidated
 	// returns the decision.
 	Revalidate
+	// ConfirmTable keeps the packet pending like Revalidate, until a read of the store that began after the packet had arrived has
+	// also shown that the table in force is the newest one. Then HandleTableConfirmed returns the decision.
+	ConfirmTable
 )
 
 // String returns the name that metrics and logs use.
 func (v Verdict) String() string {
-	return [...]string{"invalid", "forward", "reset", "drop", "confirm"}[v]
+	return [...]string{"invalid", "forward", "reset", "drop", "confirm", "confirm_table"}[v]
 }
 
 // Reason is why a verdict was reached.
@@ -83,8 +86,8 @@
 type Decision struct {
 	Verdict Verdict
 	Reason  Reason
-	// Agent is the agent to send to, for Forward. Header is the header of the frame, or, for Revalidate, what
-	// HandleRevalidated needs.
+	// Agent is the agent to send to, for Forward. Header is the header of the frame, or, for Revalidate and ConfirmTable, what
+	// HandleRevalidated and HandleTableConfirmed need.
 	Agent  hop.IP
 	Header hop.Header
 	// Skipped is the flow's first candidate, when HasSkipped is set. It does not answer pings, so the candidate search
@@ -175,7 +178,7 @@
 // Decide returns the decision for a packet that has just arrived from a caller.
 func (s *Machine) Decide(now time.Time, p *flow.Packet) Decision {
 	id := p.IDFromCaller()
-	route, refusal := s.findRoute(now, p, id)
+	route, refusal := s.findRoute(p, id, false, false)
 	if route == nil {
 		return refusal
 	}
@@ -206,7 +209,7 @@
 func (s *Machine) HandleReturned(now time.Time, p *flow.Packet, h *hop.Header) Decision {
 	id := p.IDFromCaller()
 	s.locations.remove(id)
-	route, refusal := s.findRoute(now, p, id)
+	route, refusal := s.findRoute(p, id, h.MayBeOpen, false)
 	switch {
 	case route == nil:
 		return refusal
@@ -225,8 +228,8 @@
 // HandleRefused returns the decision for an opening packet that came back with the header h in a hop.Refused frame: it
 // timed out at an agent while it waited for room at the target, or the agent's queue was full. It is not sent to another
 // target, where it would wait again. The caller is sent a reset, unless another target may have accepted a copy of the packet.
-func (s *Machine) HandleRefused(now time.Time, p *flow.Packet, h *hop.Header) Decision {
-	route, refusal := s.findRoute(now, p, p.IDFromCaller())
+func (s *Machine) HandleRefused(p *flow.Packet, h *hop.Header) Decision {
+	route, refusal := s.findRoute(p, p.IDFromCaller(), h.MayBeOpen, false)
 	switch {
 	case route == nil:
 		return refusal
@@ -242,12 +245,24 @@
 // target of the flow if the flow is open. When the view and the routes are still those of the search, no target holds the flow.
 // Otherwise the search starts over.
 func (s *Machine) HandleRevalidated(now time.Time, p *flow.Packet, h *hop.Header) Decision {
-	route, refusal := s.findRoute(now, p, p.IDFromCaller())
+	return s.decideRevalidated(now, p, h, false)
+}
+
+// HandleTableConfirmed is HandleRevalidated for a packet with the verdict ConfirmTable: the table in force is also known to have been
+// the newest one after the packet had arrived. A flow that was open by then has no route any more if that table lacks it.
+func (s *Machine) HandleTableConfirmed(now time.Time, p *flow.Packet, h *hop.Header) Decision {
+	return s.decideRevalidated(now, p, h, true)
+}
+
+// decideRevalidated decides on a packet after the view has been read again and, if isTableCurrent is set, the table was confirmed.
+func (s *Machine) decideRevalidated(now time.Time, p *flow.Packet, h *hop.Header, isTableCurrent bool) Decision {
+	route, refusal := s.findRoute(p, p.IDFromCaller(), h.MayBeOpen, isTableCurrent)
 	if route == nil {
 		return refusal
 	}
 	if h.Epoch == s.epoch {
-		return s.decideExhausted(now, p, Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen}}, true)
+		d := Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen}}
+		return s.decideExhausted(now, p, d, true, isTableCurrent)
 	}
 	return s.searchCandidates(now, p, Decision{Route: route, Header: hop.Header{MayBeOpen: h.MayBeOpen}}, 0, true)
 }
@@ -261,7 +276,7 @@
 	d.Header.Epoch, d.Header.IsRevalidated = s.epoch, isRevalidated
 	if !s.setCandidates(&d, now, p, tried) {
 		if d.Header.BusyCount == 0 {
-			return s.decideExhausted(now, p, d, isRevalidated)
+			return s.decideExhausted(now, p, d, isRevalidated, false)
 		}
 		// Targets that were only busy are sent the opening packet once more. This time they must accept it.
 		d.Header.BusyCount, d.Header.MustAccept = 0, true
@@ -286,27 +301,32 @@
 	return h
 }
 
-// findRoute returns the route of a flow. When there is none, it returns nil and the decision for the packet. A flow that may be open is
-// not reset because this balancer knows no route: a newer table, which it does not have yet, may have added one.
-func (s *Machine) findRoute(now time.Time, p *flow.Packet, id flow.ID) (*desired.Route, Decision) {
+// findRoute returns the route of a flow. When there is none, it returns nil and the decision for the packet. A flow that may be open, by
+// its packet or by what agents have reported (mayBeOpen), is reset for want of a route only if the table is current: a newer one, which
+// this balancer does not have yet, may have added the route.
+func (s *Machine) findRoute(p *flow.Packet, id flow.ID, mayBeOpen, isTableCurrent bool) (*desired.Route, Decision) {
 	if s.table == nil {
 		return nil, Decision{Verdict: Drop, Reason: NoConfiguration}
 	}
 	if route := s.table.Route(id.Address); route != nil {
 		return route, Decision{}
 	}
-	mayBeOpen := packetKind(p) != directory.OpeningPacket
-	if p.Resets || mayBeOpen && !s.history.wasRemoved(now, id.Address) {
-		return nil, Decision{Verdict: Drop, Reason: NoRoute}
+	d := Decision{Verdict: Reset, Reason: NoRoute, Header: hop.Header{Epoch: s.epoch, MayBeOpen: mayBeOpen}}
+	switch {
+	case p.Resets:
+		d.Verdict = Drop
+	case !isTableCurrent && (mayBeOpen || packetKind(p) != directory.OpeningPacket):
+		d.Verdict = ConfirmTable
 	}
-	return nil, Decision{Verdict: Reset, Reason: NoRoute}
+	return nil, d
 }
 
 // decideExhausted returns the decision for a packet that every candidate has declined. If it is the first copy of an opening
 // packet, no target has accepted the flow, and the caller is sent a reset at once. A flow that may be open, including that of
 // a retransmitted opening packet, is reset only after a revalidation has shown that no target can hold it. An open flow is not reset
-// at all while it may be open at a service that has not been searched.
-func (s *Machine) decideExhausted(now time.Time, p *flow.Packet, d Decision, isRevalidated bool) Decision {
+// at all while it may be open at a service that has not been searched. Where not every service is searched, a newer table may name one
+// of the others, so the table has to be current too.
+func (s *Machine) decideExhausted(now time.Time, p *flow.Packet, d Decision, isRevalidated, isTableCurrent bool) Decision {
 	d.Verdict, d.Reason = Reset, AllDeclined
 	switch {
 	case s.view.Len() == 0:
@@ -319,11 +339,27 @@
 		d.Verdict, d.Reason = Drop, ResetOfUnknownFlow
 	case p.Opens && d.Header.MayBeOpen:
 		d.Verdict, d.Reason = Drop, MayBeOpen
+	case packetKind(p) != directory.OpeningPacket:
+		return s.decideUnlocated(now, p, d, isRevalidated, isTableCurrent)
+	}
+	return d
+}
+
+// decideUnlocated returns the decision for a packet of a flow that may be open and that no candidate holds. It completes d, which resets
+// the flow.
+func (s *Machine) decideUnlocated(now time.Time, p *flow.Packet, d Decision, isRevalidated, isTableCurrent bool) Decision {
+	switch {
 	case !p.Opens && !s.canSearchAll(now):
 		d.Verdict, d.Reason = Drop, UnknownHistory
-	case !isRevalidated && packetKind(p) != directory.OpeningPacket:
+	case !p.Opens && !s.searchesAllServices() && !isTableCurrent:
+		d.Verdict = ConfirmTable
+		if isRevalidated {
+			// The routes or the view have changed during the revalidation. The caller repeats the packet.
+			d.Verdict, d.Reason = Drop, ViewChanges
+		}
+	case !isRevalidated:
 		d.Verdict = Revalidate
-	case packetKind(p) == directory.RetransmittedOpeningPacket && s.mayBeOpening(now, d.Route, p.Destination):
+	case p.Opens && s.mayBeOpening(now, d.Route, p.Destination):
 		d.Verdict, d.Reason = Drop, MayBeOpen
 	}
 	return d
