A port used again opens a new flow

Cause: an earlier flow with the same ends counted as the same flow. A balancer sent an opening packet to the location of the earlier flow without a look at the route, and an agent took it for a copy of one that its target had already, and delivered it past all gates.

Change: the sequence number of the opening packet tells flows with the same ends apart. Agents report it with the location. An opening packet follows a location only if the number is the same and the route in force leads to the service. The entry of the earlier flow stays until the target accepts the new one: the packet may be a late copy. Why it works: the first copy of an opening packet has no earlier flow, and repeated ones carry the number of their own first copy.

--- a/internal/opaque/crest/hosts.go
+++ b/internal/opaque/crest/hosts.go
@@ -129,7 +129,7 @@
 		origin, id := h.sim.balancerByIP(header.Origin), p.IDFromCaller()
 		h.sim.scheduleAfter(h.sim.delayBetween(h.zone, origin.zone), func() {
 			if origin.isUp {
-				origin.steer.SetLocation(h.sim.wallTime(), id, h.ip, desired.ServiceKeyOf(serviceName))
+				origin.steer.SetLocation(h.sim.wallTime(), id, d.Opening, h.ip, desired.ServiceKeyOf(serviceName))
 			}
 		})
 	}
--- a/internal/opaque/flow/flow.go
+++ b/internal/opaque/flow/flow.go
@@ -80,6 +80,36 @@
 	return id.Caller.String() + ">" + id.Address.String()
 }
 
+// Opening distinguishes a flow from earlier and later ones with the same ID: callers use their ports again. All copies of an opening
+// packet have its sequence number.
+type Opening struct {
+	// Sequence is the sequence number of the opening packet. It has no meaning unless IsKnown is set.
+	Sequence uint32
+	IsKnown  bool
+}
+
+// openingSize is the size of an encoded Opening.
+const openingSize = 4
+
+// AppendLocation appends the encoded ID of a flow and, if it is known, the flow's opening to raw.
+func AppendLocation(raw []byte, id ID, opening Opening) []byte {
+	raw = id.AppendTo(raw)
+	if opening.IsKnown {
+		raw = binary.BigEndian.AppendUint32(raw, opening.Sequence)
+	}
+	return raw
+}
+
+// DecodeLocation decodes what AppendLocation has encoded. It reports false when raw has the wrong size.
+func DecodeLocation(raw []byte) (ID, Opening, bool) {
+	if len(raw) != idSize+openingSize {
+		id, ok := DecodeID(raw)
+		return id, Opening{}, ok
+	}
+	id, ok := DecodeID(raw[:idSize])
+	return id, Opening{Sequence: binary.BigEndian.Uint32(raw[idSize:]), IsKnown: true}, ok
+}
+
 // Packet holds the fields that gentianswitch reads from a packet of a flow.
 type Packet struct {
 	Source, Destination Endpoint
@@ -108,6 +138,9 @@
 // End returns the sequence number that follows the data.
 func (p *Packet) End() uint32 { return p.Sequence + uint32(p.Payload) }
 
+// Opening returns the opening of the flow that an opening packet opens.
+func (p *Packet) Opening() Opening { return Opening{Sequence: p.Sequence, IsKnown: true} }
+
 // IDFromCaller returns the ID of the flow of a packet that a caller sent.
 func (p *Packet) IDFromCaller() ID { return ID{Caller: p.Source, Address: p.Destination} }
 
--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -199,13 +199,13 @@
 
 // handleFlowLocation records which agent's target holds a flow.
 func (f *Forwarder) handleFlowLocation(now time.Time, body []byte, agent hop.IP, service desired.ServiceKey) {
-	id, ok := flow.DecodeID(body)
+	id, opening, ok := flow.DecodeLocation(body)
 	if !ok {
 		f.counters.malformed.Inc(1)
 		return
 	}
 	f.mu.Lock()
-	f.steer.SetLocation(now, id, agent, service)
+	f.steer.SetLocation(now, id, opening, agent, service)
 	f.mu.Unlock()
 	f.counters.located.Inc(1)
 	f.deps.Log.Emit(events.OpaqueFlowLocated, events.F("flow", id.String()), events.F("agent", ipText(agent)))
--- a/internal/opaque/gate/gate.go
+++ b/internal/opaque/gate/gate.go
@@ -81,7 +81,7 @@
 		return Released[T]{}, false
 	}
 	next, _ := g.pending.Pop(now)
-	return newReleased(now, &next, g.AdmitPending(now, next.ID, &next.Item.header)), true
+	return newReleased(now, &next, g.AdmitPending(now, &next.Item.packet, &next.Item.header)), true
 }
 
 // hasRoomAfterSweep reports whether the target has room, if necessary after a sweep: flows whose callers have left then no
@@ -104,7 +104,7 @@
 	}
 	h := &expired.Item.header
 	if left := expired.Urgency.Objective - admission.MaxWait; g.CanAnswerWithin(left) && !g.IsAtOpeningLimit(now) {
-		return newReleased(now, &expired, g.AdmitPending(now, expired.ID, h)), true
+		return newReleased(now, &expired, g.AdmitPending(now, &expired.Item.packet, h)), true
 	}
 	return g.refuse(now, &expired), true
 }
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -18,7 +18,7 @@
 	Forward Kind = iota + 1
 	// Returned carries a caller's datagram back to the balancer because every candidate of the frame has declined it.
 	Returned
-	// FlowLocation informs a balancer that the sender's target holds a flow. Its body is the flow's ID.
+	// FlowLocation informs a balancer that the sender's target holds a flow. Its body is the flow's ID and opening.
 	FlowLocation
 	// Ping checks whether an agent is reachable. Its body is the sender's BalancerStatus.
 	Ping
--- a/internal/opaque/proof/moved_route_test.go
+++ b/internal/opaque/proof/moved_route_test.go
@@ -22,6 +22,7 @@
 		s.moveRoute()
 		s.applyNewestTable()
 	}
+	actions["a caller uses a port again"] = func(*rapid.T) { s.usePortAgain() }
 	actions["a balancer fetches from another"] = func(*rapid.T) { s.fetchTable(s.drawBalancer(), s.drawBalancer()) }
 	return actions
 }
@@ -129,6 +130,15 @@
 	})
 }
 
+// TestFlowsFromPortsUsedAgainAreNewFlows checks the same while callers use their ports again, the route moves and targets drain. It guards
+// against new flows that are opened where an earlier one with the same ends was.
+func TestFlowsFromPortsUsedAgainAreNewFlows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t, 1, 4)
+		runActions(t, s, s.movedRouteActions())
+	})
+}
+
 // TestOpenFlowsOutlastRoutesThatAreAddedAgain checks the same while the route is removed and added again. It guards against resets by a
 // balancer whose table lacks the route, because it does not have the newer one yet.
 func TestOpenFlowsOutlastRoutesThatAreAddedAgain(t *testing.T) {
--- a/internal/opaque/resident/flows.go
+++ b/internal/opaque/resident/flows.go
@@ -53,6 +53,19 @@
 	served uint8
 	// runsOnce is set if the requests of the flow must not run twice.
 	runsOnce bool
+	// opening is that of the flow. It is unknown if this process has not delivered the opening packet.
+	opening flow.Opening
+	// next is the opening of a later flow with the same ends, from its delivery until the target accepts or bounces it. The target may
+	// still hold this flow.
+	next nextOpening
+}
+
+// nextOpening is an opening that was delivered to the target while the table held an earlier flow with the same ends.
+type nextOpening struct {
+	opening flow.Opening
+	// deliveredAt is the time since the start of the agent.
+	deliveredAt time.Duration
+	runsOnce    bool
 }
 
 const (
@@ -173,6 +186,56 @@
 	return f
 }
 
+// isCopyOfOpening reports whether an opening packet is a copy of one that was delivered to the target for this flow, or for the one that
+// is about to replace it. Otherwise it opens another flow from a port that is used again.
+func (r *Machine) isCopyOfOpening(now time.Time, f *flowEntry, p *flow.Packet) bool {
+	if f.next.opening == p.Opening() {
+		return now.Sub(r.startedAt)-f.next.deliveredAt <= openingRetryPeriod
+	}
+	return (!f.opening.IsKnown || f.opening == p.Opening()) && now.Sub(f.createdAt) <= openingRetryPeriod
+}
+
+// isInUse reports whether a flow is open and its ends have sent packets a short time ago, so that its port is not used again yet.
+func (f *flowEntry) isInUse(now time.Time) bool {
+	return f.isOpen && f.finishedEnds == 0 && now.Sub(f.lastPacketAt) <= maxCallerSilence
+}
+
+// recordOpening records the delivery of an opening packet. A flow with the same ends that the target has accepted stays until the target
+// accepts the new one: the packet may be late.
+func (r *Machine) recordOpening(now time.Time, p *flow.Packet, runsOnce bool) {
+	id := p.IDFromCaller()
+	if f := r.flows[id]; f != nil && f.isAccepted {
+		f.next = nextOpening{opening: p.Opening(), deliveredAt: now.Sub(r.startedAt), runsOnce: runsOnce}
+		r.setCallerWaiting(f, true)
+		return
+	} else if f != nil {
+		r.deleteFlow(id, f)
+	}
+	f := r.ensureFlow(now, id)
+	f.opening, f.runsOnce = p.Opening(), runsOnce
+}
+
+// recordAcceptance records that the target has accepted a flow. If another opening packet was delivered since the table holds a flow with
+// these ends, that flow has ended.
+func (r *Machine) recordAcceptance(now time.Time, id flow.ID) {
+	f := r.ensureFlow(now, id)
+	if next := f.next; next.opening.IsKnown {
+		r.deleteFlow(id, f)
+		f = r.ensureFlow(now, id)
+		f.opening, f.runsOnce, f.createdAt = next.opening, next.runsOnce, r.startedAt.Add(next.deliveredAt)
+	}
+	f.isAccepted, f.acceptedAt = true, now
+	r.target.acceptedAt = now
+}
+
+// recordBouncedOpening records that the target has not accepted a flow. One with the same ends that it had accepted before stays.
+func (r *Machine) recordBouncedOpening(f *flowEntry, opening flow.Opening) {
+	if f.next.opening == opening {
+		f.next = nextOpening{}
+		r.setCallerWaiting(f, false)
+	}
+}
+
 // EndedFlow is an open flow that was lost with its target.
 type EndedFlow struct {
 	ID flow.ID
--- a/internal/opaque/resident/opening.go
+++ b/internal/opaque/resident/opening.go
@@ -19,11 +19,11 @@
 )
 
 // handleOpening returns the decision for an opening packet of a flow that the target does not hold.
-func (r *Machine) handleOpening(now time.Time, id flow.ID, h *hop.Header) Decision {
+func (r *Machine) handleOpening(now time.Time, p *flow.Packet, h *hop.Header) Decision {
 	reason := r.target.declineReason(now)
 	// At the last candidate the packet waits until all balancers know the joining target.
 	if isLast := h.CandidateCount == 0 && h.BusyCount == 0 && !h.IsDuplicate; isLast && reason == Joining {
-		return Decision{Verdict: Wait, Reason: Joining, Header: *h, NotifyOrigin: h.Hops > 0}
+		return Decision{Verdict: Wait, Reason: Joining, Header: *h, NotifyOrigin: h.Hops > 0, Opening: p.Opening()}
 	}
 	if reason != Accepting {
 		return decline(h, reason)
@@ -36,12 +36,12 @@
 	}
 	// While the rate is limited, new flows wait behind those that wait already.
 	if isAtLimit || r.pendingFlows > 0 && r.openingRate(now) > 0 {
-		return Decision{Verdict: Wait, Reason: Cold, Header: *h, NotifyOrigin: h.Hops > 0}
+		return Decision{Verdict: Wait, Reason: Cold, Header: *h, NotifyOrigin: h.Hops > 0, Opening: p.Opening()}
 	}
 	if r.mustWait(now, h) {
-		return Decision{Verdict: Wait, Reason: Busy, Header: *h, NotifyOrigin: h.Hops > 0}
+		return Decision{Verdict: Wait, Reason: Busy, Header: *h, NotifyOrigin: h.Hops > 0, Opening: p.Opening()}
 	}
-	return r.deliverOpening(now, id, h)
+	return r.deliverOpening(now, p, h)
 }
 
 // mustWait reports whether an opening packet waits at the agent instead of at the target. Flows of the most urgent routes wait
@@ -122,23 +122,23 @@
 
 // AdmitPending returns the decision for an opening packet that has waited for room and may be delivered now. At the limit of opening
 // packets it is declined; the caller checks IsAtOpeningLimit before, so that the packet keeps waiting instead.
-func (r *Machine) AdmitPending(now time.Time, id flow.ID, h *hop.Header) Decision {
+func (r *Machine) AdmitPending(now time.Time, p *flow.Packet, h *hop.Header) Decision {
 	if reason := r.target.declineReason(now); reason != Accepting {
 		return decline(h, reason)
 	}
 	if r.IsAtOpeningLimit(now) {
 		return decline(h, Cold)
 	}
-	return r.deliverOpening(now, id, h)
+	return r.deliverOpening(now, p, h)
 }
 
 // deliverOpening delivers an opening packet to the target. Its flow counts as waiting from now on, so that a burst of new
 // flows does not find more room than there is.
-func (r *Machine) deliverOpening(now time.Time, id flow.ID, h *hop.Header) Decision {
+func (r *Machine) deliverOpening(now time.Time, p *flow.Packet, h *hop.Header) Decision {
 	r.target.recordOpening(now)
 	r.recordOpeningDelivery(now)
-	r.ensureFlow(now, id).runsOnce = h.RunsOnce
-	return Decision{Verdict: Deliver, Mark: r.recordDelivery(h), NotifyOrigin: h.Hops > 0}
+	r.recordOpening(now, p, h.RunsOnce)
+	return Decision{Verdict: Deliver, Mark: r.recordDelivery(h), NotifyOrigin: h.Hops > 0, Opening: p.Opening()}
 }
 
 // RefusePending returns the decision for an opening packet that found no room within its wait limit, or that was removed from a
--- a/internal/opaque/resident/resident.go
+++ b/internal/opaque/resident/resident.go
@@ -92,8 +92,9 @@
 	Header hop.Header
 	// PreviousInstance is the instance that held the flow. It is set with the reason Forgotten.
 	PreviousInstance string
-	// NotifyOrigin is set when the balancer that sent the packet has to learn that the flow is at this agent.
+	// NotifyOrigin is set when the balancer that sent the packet has to learn that the flow with this opening is at this agent.
 	NotifyOrigin bool
+	Opening      flow.Opening
 }
 
 // Bounds and intervals.
@@ -168,9 +169,9 @@
 	}
 	id := p.IDFromCaller()
 	f := r.flows[id]
-	if f == nil && p.Opens {
+	if p.Opens && (f == nil || !f.isInUse(now) && !r.isCopyOfOpening(now, f, p)) {
 		h.MayBeOpen = h.MayBeOpen || p.Retransmissions > 0 && now.Sub(r.startedAt) < openingRetryPeriod && !r.IsFlowTableComplete(now)
-		return r.handleOpening(now, id, h)
+		return r.handleOpening(now, p, h)
 	}
 	// A target that has reported its shutdown may still send the last answers of its flows.
 	if r.target.hasTimedOut || r.target.hasLeft && f == nil {
@@ -189,6 +190,10 @@
 // deliverOfFlow returns the decision for a caller's packet of a flow in the table.
 func (r *Machine) deliverOfFlow(now time.Time, id flow.ID, f *flowEntry, p *flow.Packet, h *hop.Header) Decision {
 	if p.Opens {
+		if reason := r.target.declineReason(now); reason != Accepting && !r.isCopyOfOpening(now, f, p) {
+			// A late copy, or a new flow from the port of one that is in use. The caller repeats the packet if it gets no answer.
+			return Decision{Verdict: Drop, Reason: reason}
+		}
 		if !r.canDeliverCopy(now) {
 			// The target has the flow already. The caller repeats the packet if it gets no answer.
 			return Decision{Verdict: Drop, Reason: Cold}
@@ -197,6 +202,7 @@
 	}
 	d := Decision{Verdict: Deliver, Reason: FlowHeld, Mark: r.recordDelivery(h)}
 	d.NotifyOrigin = r.recordCallerPacket(now, id, f, p) && h.Hops > 0 && r.allowNotification(now, f)
+	d.Opening = f.opening
 	return d
 }
 
@@ -222,9 +228,7 @@
 	f := r.flows[id]
 	switch {
 	case p.Accepts:
-		accepted := r.ensureFlow(now, id)
-		accepted.isAccepted, accepted.acceptedAt = true, now
-		r.target.acceptedAt = now
+		r.recordAcceptance(now, id)
 	case f == nil:
 	case p.Resets:
 		r.deleteFlow(id, f)
@@ -239,7 +243,11 @@
 	m := &r.deliveries[p.Mark%deliveryRingSize]
 	isStale := p.Mark == 0 || m.mark != p.Mark
 	reason, previousInstance := Bounced, ""
-	if f := r.flows[p.IDFromCaller()]; f != nil && (!p.Opens || !f.isAccepted) {
+	f := r.flows[p.IDFromCaller()]
+	if f != nil && p.Opens {
+		r.recordBouncedOpening(f, p.Opening())
+	}
+	if f != nil && (!p.Opens || !f.isAccepted) {
 		if f.isServed {
 			reason, previousInstance = Forgotten, r.target.instanceAt(f.acceptedAt)
 		}
--- a/internal/opaque/sidecar/packets.go
+++ b/internal/opaque/sidecar/packets.go
@@ -51,7 +51,7 @@
 		s.applyDecision(&displaced.Packet, displaced.Decision, displaced.Item)
 	}
 	if d.NotifyOrigin {
-		s.notifyOrigin(h.Origin, p.IDFromCaller())
+		s.notifyOrigin(h.Origin, p.IDFromCaller(), d.Opening)
 	}
 	s.applyDecision(&p, d, datagram)
 	if d.Verdict == resident.Wait {
@@ -60,10 +60,10 @@
 }
 
 // notifyOrigin notifies a balancer that a flow is at this agent.
-func (s *Sidecar) notifyOrigin(origin hop.IP, id flow.ID) {
+func (s *Sidecar) notifyOrigin(origin hop.IP, id flow.ID, opening flow.Opening) {
 	var buffer [hop.MaxTrailer]byte
 	h := hop.Header{Kind: hop.FlowLocation, Service: uint64(desired.ServiceKeyOf(s.settings.Service))}
-	s.send(h.Append(id.AppendTo(buffer[:0])), s.balancerAddress(origin))
+	s.send(h.Append(flow.AppendLocation(buffer[:0], id, opening)), s.balancerAddress(origin))
 }
 
 func (s *Sidecar) balancerAddress(ip hop.IP) netip.AddrPort {
--- a/internal/opaque/steer/locations.go
+++ b/internal/opaque/steer/locations.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"slices"
+
 	"gentianswitch/internal/opaque/desired"
 	"gentianswitch/internal/opaque/flow"
 	"gentianswitch/internal/opaque/hop"
@@ -17,12 +19,31 @@
 	newer, older map[flow.ID]location
 }
 
-// location is the agent that holds a flow and the service of its target.
+// location is the agent that holds a flow and the service of its target. It is small, since one is read for every packet.
 type location struct {
-	agent   hop.IP
+	agent hop.IP
+	// opening is the sequence number of the opening packet plus one, or zero if it is not known.
+	opening uint32
 	service desired.ServiceKey
 }
 
+func newLocation(opening flow.Opening, agent hop.IP, service desired.ServiceKey) location {
+	l := location{agent: agent, service: service}
+	if opening.IsKnown {
+		l.opening = opening.Sequence + 1
+	}
+	return l
+}
+
+// isOf reports whether an opening packet on a route may follow the location: it is a copy of the packet that opened the located flow, and
+// the route leads to the service. Otherwise the location is that of an earlier flow from the same port, and the table in force alone
+// decides where the new one is opened.
+func (l location) isOf(p *flow.Packet, route *desired.Route) bool {
+	return l.opening != 0 && l.opening == p.Sequence+1 && slices.ContainsFunc(route.Services, func(w desired.WeightedService) bool {
+		return w.Service == l.service && w.Weight > 0
+	})
+}
+
 func newLocationCache() locationCache {
 	return locationCache{newer: make(map[flow.ID]location), older: make(map[flow.ID]location)}
 }
--- a/internal/opaque/steer/steer.go
+++ b/internal/opaque/steer/steer.go
@@ -166,13 +166,14 @@
 	return true
 }
 
-// SetLocation records that an agent, beside a target of a service, holds a flow.
-func (s *Machine) SetLocation(now time.Time, id flow.ID, agent hop.IP, service desired.ServiceKey) {
+// SetLocation records that an agent, beside a target of a service, holds a flow. Copies of the opening packet follow the location only
+// if the opening is known.
+func (s *Machine) SetLocation(now time.Time, id flow.ID, opening flow.Opening, agent hop.IP, service desired.ServiceKey) {
 	if now.Sub(s.rotatedAt) > flow.Lifetime {
 		s.locations.rotate()
 		s.rotatedAt = now
 	}
-	s.locations.put(id, location{agent, service})
+	s.locations.put(id, newLocation(opening, agent, service))
 }
 
 // Decide returns the decision for a packet that has just arrived from a caller.
@@ -183,6 +184,12 @@
 		return refusal
 	}
 	known, ok := s.locations.get(id)
+	if ok && p.Opens && !known.isOf(p, route) {
+		ok = false
+		if p.Retransmissions == 0 {
+			s.locations.remove(id)
+		}
+	}
 	if !ok || !s.view.IsKnown(known.agent) {
 		return s.searchCandidates(now, p, Decision{Route: route}, 0, false)
 	}
