Late heartbeats between those of the living target change nothing

Cause: another incarnation replaced the known one with its second heartbeat, two ticks after its first. Two ticks are half an interval each, so they fit between two heartbeats of a living target. The wrong decision did not heal, because heartbeats of a replaced incarnation were ignored for good.

Evidence: the rule was played in a test without processes: late heartbeats between those of the living target are taken on the code before.

Change: the known incarnation must have sent nothing for four ticks, at least one and a half intervals. Its flows then end only after 2.5 intervals of its silence, as those of a target that is gone, and not if it speaks before. A replaced incarnation speaks again under the same rule. Why it works: a living target sends a heartbeat in each interval, at whatever distance late ones arrive; if it misses one, no flow ends and its third heartbeat is taken. The bound of two ignored heartbeats of a living target holds as before.

--- a/internal/opaque/resident/target.go
+++ b/internal/opaque/resident/target.go
@@ -78,6 +78,10 @@
 	acceptedAt time.Time
 	// coldUntil is when the target will be warm, as far as its heartbeats say.
 	coldUntil time.Time
+	// unheardTicks counts the ticks since the last heartbeat of the known incarnation.
+	unheardTicks int
+	// lost is an incarnation whose flows end soon.
+	lost lostIncarnation
 	// successors are other incarnations that may have replaced the known one, and replaced are those that others have replaced.
 	successors []successor
 	replaced   []Incarnation
@@ -164,8 +168,14 @@
 	}
 	if isNew {
 		// Otherwise the new incarnation may have accepted flows before a late heartbeat of the earlier one.
-		if t.isConfirmed && next.firstSequence <= MaxFirstSequence {
+		mayEndFlows := t.isConfirmed && next.firstSequence <= MaxFirstSequence
+		switch {
+		case mayEndFlows && (next.isProven || t.isAbsent()):
 			ended = r.endFlowsAcceptedBy(next.predecessorHeardAt)
+		case mayEndFlows:
+			t.lost = lostIncarnation{
+				t.lastHeartbeat.Incarnation(), t.lastHeartbeat.Sequence, next.predecessorHeardAt, t.unheardTicks,
+			}
 		}
 		t.previousInstance, t.instanceChangedAt = t.lastHeartbeat.Instance, now
 		t.recordReplaced()
@@ -175,6 +185,7 @@
 	t.lastHeartbeat, t.heartbeatAt, t.isKnown, t.hasLeft, t.hasTimedOut = h, now, true, false, false
 	t.coldUntil = now.Add(h.WarmupLeft)
 	t.resetSuccessorTicks()
+	t.unheardTicks = 0
 	t.recordSignOfLife(now)
 	return Outcome{HasChanged: before != r.Entry(), EndedFlows: ended, PreviousInstance: previousInstance, Cause: Succession}
 }
@@ -206,7 +217,14 @@
 	t := &r.target
 	t.addSuccessorTicks()
 	t.heardTicks++
+	t.unheardTicks++
 	t.silentTicks = min(t.silentTicks+1, maxSilentTicks)
+	if t.lost.tick() {
+		ended := r.endFlowsAcceptedBy(t.lost.heardAt)
+		previous := t.lost.incarnation.Instance
+		t.lost = lostIncarnation{}
+		return Outcome{EndedFlows: ended, PreviousInstance: previous, Cause: Succession}
+	}
 	if t.silentTicks < maxSilentTicks || t.hasTimedOut {
 		return Outcome{}
 	}
