An entry that cannot be decoded may be that of a living target

What callers saw: another writer replaced the entry of a target by bytes that cannot be decoded.

Cause: an entry that can't be read was taken for one that isn't there. The view of a balancer that starts counted as complete without the target, and the agent did not look at its entry while balancers that knew the target pinged it.

Evidence: the new spec, on the code before, finds resets in the logs of the balancers that were started after the entry was replaced.

Change: a listed key with an entry that cannot be decoded leaves the view incomplete, unless the target is known from elsewhere, for at most the 8 s after which the agents of a restored store count as heard. Balancers tell the agent that the key names, at once and each second; it reads its entry and writes it again. Handovers name the entries that their sender could not decode. Why it works: the agent that serves the flows is told within a tick, and nobody concludes anything from the missing target before.

--- a/integration/opaque_odd_entries_test.go
+++ b/integration/opaque_odd_entries_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -92,6 +94,29 @@
 		Expect(c.SendRequest("after")).To(Equal(d.targets[0].Name))
 	})
 
+	// Guards against resets by balancers that start and take the entry for one that is not there, and against an agent that leaves it as
+	// it is while its target is in use.
+	It("is replaced by the agent, and balancers that start reset no flow of the target", func() {
+		d := newOpaqueDeployment(2, 1)
+		c := openFlowAt(d, d.targets[0])
+		key := registry.Key(hop.IP(d.agents[0].ip.As4()))
+		// Before that, balancers that start reset no flow in any case.
+		Eventually(func() []byte { return d.store.Value(registry.EraKey) }).WithTimeout(opaqueWaitLimit).ShouldNot(BeEmpty())
+		d.agents[0].signal(syscall.SIGSTOP)
+		d.store.Put(key, deeplyNested)
+		for _, p := range d.balancers {
+			p.restart()
+			Eventually(func() bool { return d.isReady(p) }).WithTimeout(opaqueWaitLimit).Should(BeTrue())
+		}
+		// The agent cannot write its entry again before the balancers have started.
+		time.AfterFunc(300*time.Millisecond, func() { d.agents[0].signal(syscall.SIGCONT) })
+		Eventually(func() (string, error) { return c.SendRequest("after") }).WithTimeout(opaqueWaitLimit).Should(Equal(d.targets[0].Name))
+		Expect(d.storedEntry(d.agents[0]).Service).To(Equal("lines"))
+		for _, p := range d.balancers {
+			Expect(p.logText()).NotTo(ContainSubstring(`"msg":"opaque flow reset"`))
+		}
+	})
+
 	// Guards against a target that balancers cannot use, because its agent has acknowledged a heartbeat that no entry can hold.
 	It("is not made of a heartbeat with fields out of range", func() {
 		d := newOpaqueDeployment(1, 1)
--- a/internal/events/opaque.go
+++ b/internal/events/opaque.go
@@ -44,7 +44,8 @@
 		"The state of a target in the balancer's view changed, by its entry in the store or by answers to pings.",
 		"agent", "service", "zone", "slots", "draining", "state", "reason", "revision", "era")
 	TargetEntryRefused = define(311, logrus.WarnLevel, "target entry refused",
-		"An entry in the store cannot be decoded; it is ignored.", "key", "revision", "error")
+		"An entry in the store cannot be decoded; it is ignored. A balancer tells the agent that the key names, and that one writes its "+
+			"entry again.", "key", "revision", "error")
 	TargetHeartbeat = define(312, logrus.InfoLevel, "target state",
 		"A heartbeat changed the state of the target in the agent's view. When complete is set, the agent's flow table lists all "+
 			"flows of the target.",
--- a/internal/opaque/directory/directory.go
+++ b/internal/opaque/directory/directory.go
@@ -43,7 +43,9 @@
 	// older entries of that target, which are ignored. The map is never pruned: like the store, it keeps one revision for each
 	// address.
 	removalRevisions map[hop.IP]store.Version
-	view             *View
+	// unreadable holds the entries that cannot be decoded.
+	unreadable map[hop.IP]unreadableEntry
+	view       *View
 	// evacuated are the availability zones whose targets receive no new flows.
 	evacuated map[string]struct{}
 	// seed is a hash of the balancer's address, and zone is its availability zone.
@@ -66,7 +68,7 @@
 func New(self hop.IP, zone string) *Directory {
 	return &Directory{
 		seed: xxhash.Sum64(self[:]), zone: zone, targets: make(map[hop.IP]*Target),
-		removalRevisions: make(map[hop.IP]store.Version), view: &View{}, answerRate: 1,
+		removalRevisions: make(map[hop.IP]store.Version), unreadable: make(map[hop.IP]unreadableEntry), view: &View{}, answerRate: 1,
 	}
 }
 
@@ -138,6 +140,7 @@
 // a lost one is not newer.
 func (d *Directory) HandleEntry(now time.Time, agent hop.IP, e registry.Entry, returned store.Version) (Change, bool) {
 	revision := e.Version(returned)
+	d.forgetUnreadable(agent, returned)
 	known := d.targets[agent]
 	if known != nil && revision <= known.Revision || revision <= d.removalRevisions[agent] {
 		if known != nil && revision < known.Revision && known.Revision.Era() < returned.Era() {
@@ -162,6 +165,7 @@
 // It reports false when there is no target or when its entry is newer.
 func (d *Directory) HandleRemoval(agent hop.IP, revision store.Version) (Change, bool) {
 	d.removalRevisions[agent] = max(d.removalRevisions[agent], revision)
+	d.forgetUnreadable(agent, revision)
 	known := d.targets[agent]
 	if known == nil || revision <= known.Revision {
 		return Change{}, false
@@ -175,6 +179,11 @@
 // with a newer entry stay. Targets with an entry of an earlier era stay too: the restored store may have lost the entry, and the
 // target's agent writes it again.
 func (d *Directory) Retain(listed map[hop.IP]struct{}, revision store.Version) []Change {
+	for agent := range d.unreadable {
+		if _, ok := listed[agent]; !ok {
+			d.forgetUnreadable(agent, revision)
+		}
+	}
 	var changes []Change
 	for agent, t := range d.targets {
 		if _, ok := listed[agent]; ok {
--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -182,6 +182,18 @@
 		f.removeEntry(storeItem(removed))
 	}
 	f.markLost(state.Targets)
+	f.applyUnreadable(state.Unreadable)
+}
+
+// applyUnreadable records which entries another balancer could not decode.
+func (f *Forwarder) applyUnreadable(items []handover.Item) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, item := range items {
+		if agent, err := registry.AgentOf(item.Key); err == nil {
+			f.directory.HandleUnreadable(time.Now(), agent, item.Revision)
+		}
+	}
 }
 
 // markLost records which targets another balancer has found to be lost by the restored store.
@@ -254,6 +266,9 @@
 			Key: registry.Key(t.Agent), Value: value, Revision: t.Revision, IsLost: t.IsLost,
 		})
 	}
+	f.directory.EachUnreadable(func(agent hop.IP, revision store.Version) {
+		state.Unreadable = append(state.Unreadable, handover.Item{Key: registry.Key(agent), Revision: revision})
+	})
 	if request.After > 0 {
 		f.directory.EachRemoved(request.After, func(agent hop.IP, revision store.Version) {
 			state.Removed = append(state.Removed, handover.Item{Key: registry.Key(agent), Revision: revision})
--- a/internal/opaque/forwarder/entries.go
+++ b/internal/opaque/forwarder/entries.go
@@ -13,8 +13,8 @@
 )
 
 // applyTargetList applies the target entries in a list, read from the store at a revision. Targets that it lacks are removed,
-// unless their entries are newer or of an earlier era. A target whose entry cannot be decoded stays as it is: another writer may have
-// replaced the entry.
+// unless their entries are newer or of an earlier era. A target whose entry cannot be decoded stays as it is, and its agent is told:
+// another writer may have replaced the entry.
 func (f *Forwarder) applyTargetList(items []store.Item, at store.Version) {
 	listed := make(map[hop.IP]struct{}, len(items))
 	for _, item := range items {
@@ -109,6 +109,9 @@
 	entry, err := registry.Decode(item.Value)
 	if err != nil {
 		f.logRefusedEntry(item, err)
+		f.mu.Lock()
+		f.directory.HandleUnreadable(time.Now(), agent, item.Version)
+		f.mu.Unlock()
 		return agent, true
 	}
 	f.mu.Lock()
--- a/internal/opaque/forwarder/packets.go
+++ b/internal/opaque/forwarder/packets.go
@@ -224,8 +224,13 @@
 	f.expireEvacuations()
 	f.mu.Lock()
 	pings, changes := f.directory.Tick(now)
+	unreadable := f.directory.DueNotices(now)
 	f.updateView()
 	f.mu.Unlock()
+	for _, agent := range unreadable {
+		h := hop.Header{Kind: hop.EntryUnreadable, Origin: f.self}
+		f.sendToAgent(agent, h.Append(nil))
+	}
 	for _, change := range changes {
 		f.logTarget(change)
 	}
--- a/internal/opaque/forwarder/revalidate.go
+++ b/internal/opaque/forwarder/revalidate.go
@@ -50,7 +50,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.freshness.isFreshAt(now), nil
+	return f.freshness.isFreshAt(now) && !f.directory.LacksTarget(time.Now()), nil
 }
 
 // decideOrRevalidate handles a packet whose candidate search is exhausted: every candidate has declined it. It decides at once
@@ -150,7 +150,15 @@
 	if !f.isStoreSettled() {
 		return registry.ErrUnsettled
 	}
-	return f.refreshTargets(ctx)
+	if err := f.refreshTargets(ctx); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.directory.LacksTarget(time.Now()) {
+		return registry.ErrUnreadable
+	}
+	return nil
 }
 
 // isStoreSettled reports false while the restored store may lack entries of targets.
--- a/internal/opaque/handover/handover.go
+++ b/internal/opaque/handover/handover.go
@@ -57,6 +57,8 @@
 	IsSnapshot bool   `msgpack:"whole"`
 	Targets    []Item `msgpack:"targets"`
 	Removed    []Item `msgpack:"removed"`
+	// Unreadable are the entries that cannot be decoded, without their values.
+	Unreadable []Item `msgpack:"unreadable,omitempty"`
 	// Evacuations are all known evacuations of availability zones, including those that have ended. All other zones were in service
 	// at EvacuationsListedAt, which is zero if that is not known.
 	Evacuations         []desired.Evacuation `msgpack:"evacuations,omitempty"`
--- a/internal/opaque/hop/hop.go
+++ b/internal/opaque/hop/hop.go
@@ -39,6 +39,8 @@
 	TableRequest
 	// TableReply answers a TableRequest. Its body is the version.
 	TableReply
+	// EntryUnreadable informs an agent that the entry of its target in the store cannot be decoded. It has no body.
+	EntryUnreadable
 )
 
 // MaxCandidates bounds the candidates in a frame, so that a caller's largest datagram and the trailer fit an Ethernet frame.
@@ -174,7 +176,7 @@
 	h.IsRevalidated, h.MayBeOpen, h.MustAccept = kind&revalidatedBit != 0, kind&mayBeOpenBit != 0, kind&mustAcceptBit != 0
 	h.IsDuplicate = kind&duplicateBit != 0
 	candidateBytes := int(h.CandidateCount) * addressBytes
-	if h.CandidateCount > MaxCandidates || len(body) < candidateBytes || h.Kind < Forward || h.Kind > TableReply {
+	if h.CandidateCount > MaxCandidates || len(body) < candidateBytes || h.Kind < Forward || h.Kind > EntryUnreadable {
 		return nil, ErrMalformed
 	}
 	body, candidates := body[:len(body)-candidateBytes], body[len(body)-candidateBytes:]
--- a/internal/opaque/registry/settlement.go
+++ b/internal/opaque/registry/settlement.go
@@ -19,6 +19,9 @@
 // ErrUnsettled means that the store was restored from a copy, and that agents may not have written all lost entries again yet.
 var ErrUnsettled = eris.New("the store was restored, and may lack entries of targets")
 
+// ErrUnreadable means that the entry of a target cannot be decoded, and that its agent may not have written it again yet.
+var ErrUnreadable = eris.New("an entry cannot be decoded, and its target may serve flows")
+
 const (
 	// SettleTime is the time after which an era is settled. An agent learns of the era from a ping within 2 s, and reads its entry
 	// after up to MaxCheckDelay; or it checks its entry checkInterval after the last ping. The rest is for its calls.
--- a/internal/opaque/registry/writer.go
+++ b/internal/opaque/registry/writer.go
@@ -33,6 +33,8 @@
 	maxCheckDoublings = 4
 	// idleCheckFactor is the factor on that time for a target without flows. Only new flows miss it.
 	idleCheckFactor = 8
+	// minUnreadableInterval is the minimum time between two reads of the entry because balancers cannot decode it.
+	minUnreadableInterval = 500 * time.Millisecond
 	// MaxCheckDelay bounds the delay of a check after a restoration of the store. It spreads the reads of a fleet.
 	MaxCheckDelay = 2 * time.Second
 )
@@ -76,6 +78,8 @@
 	reportedEra uint64
 	confirmedAt time.Time
 	checks      int
+	// unreadableAt is when a balancer last reported that it cannot decode the entry.
+	unreadableAt time.Time
 	// hasFlows is set while the target has open flows.
 	hasFlows bool
 }
@@ -275,3 +279,13 @@
 	w.reportedEra, w.isUncertain, w.retryAt = era, true, now.Add(delay)
 	return true
 }
+
+// HandleUnreadable records that a balancer cannot decode the entry: another writer may have replaced it. The entry is read again, unless a
+// balancer has reported that just before. HandleUnreadable then returns true.
+func (w *Writer) HandleUnreadable(now time.Time) bool {
+	if !w.isStoredKnown() || w.desired == (Entry{}) || now.Sub(w.unreadableAt) < minUnreadableInterval {
+		return false
+	}
+	w.unreadableAt, w.isUncertain, w.retryAt = now, true, now
+	return true
+}
--- a/internal/opaque/sidecar/entry.go
+++ b/internal/opaque/sidecar/entry.go
@@ -320,6 +320,15 @@
 	}
 }
 
+// handleUnreadableEntry makes the agent read its entry, which a balancer cannot decode, and write it again.
+func (s *Sidecar) handleUnreadableEntry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writer.HandleUnreadable(time.Now()) {
+		s.wakeWriter()
+	}
+}
+
 // handleStoreFailure records that a store call failed. The caller holds mu.
 func (s *Sidecar) handleStoreFailure(err error, step string) {
 	s.isStoreUnavailable = true
--- a/internal/opaque/sidecar/packets.go
+++ b/internal/opaque/sidecar/packets.go
@@ -27,6 +27,8 @@
 			s.handleForwardedPacket(&header, body)
 		case hop.Ping:
 			s.handlePing(&header, body, from)
+		case hop.EntryUnreadable:
+			s.handleUnreadableEntry()
 		default:
 			s.counters.malformed.Inc(1)
 		}
