--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -160,14 +160,16 @@
 	d.store.Put(configurationKey, d.document)
 }
 
-// storedEntry returns the entry of an agent's target in the store, or the zero Entry.
+// storedEntry returns the entry of an agent's target in the store, or the zero Entry if there is none that can be decoded.
 func (d *opaqueDeployment) storedEntry(agent *opaqueProcess) registry.Entry {
 	raw := d.store.Value(registry.Key(hop.IP(agent.ip.As4())))
 	if raw == nil {
 		return registry.Entry{}
 	}
 	entry, err := registry.Decode(raw)
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return registry.Entry{}
+	}
 	return entry
 }
 
--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 
+	"gentianswitch/internal/opaque/hop"
+	"gentianswitch/internal/opaque/registry"
 	"gentianswitch/platform/standin"
 )
 
@@ -35,6 +37,8 @@
 		s.store.Put(soakEvacuationKey, []byte("{}"))
 		time.Sleep(f.duration)
 		s.store.Delete(soakEvacuationKey)
+	case f.kind == replaceEntry:
+		s.store.Put(registry.Key(hop.IP(s.agents[f.victim].ip.As4())), []byte("bytes of another writer"))
 	case f.kind < crashTarget:
 		s.injectProcessFault(f)
 	case f.kind < storeBusy:
--- a/integration/soak_schedule_test.go
+++ b/integration/soak_schedule_test.go
@@ -35,9 +35,10 @@
 	narrowNetwork
 	changeRoutes
 	faultKindCount
-	// storeRestored and evacuateZone are not drawn among the other kinds; addRestorations and addEvacuations add them.
+	// These are not drawn among the other kinds; addRestorations, addEvacuations and addForeignEntries add them.
 	storeRestored
 	evacuateZone
+	replaceEntry
 )
 
 // String returns the name of the kind in the output of a soak.
@@ -46,7 +47,7 @@
 		"kill balancer", "stop balancer", "pause balancer", "kill agent", "pause agent", "kill all", "crash target",
 		"replace target", "store busy", "store resets", "store silent", "store loses answers", "store compacted",
 		"store slow", "drop store answers", "drop store traffic", "refuse store connections", "lossy network",
-		"narrow network", "change routes", "", "restore store", "evacuate zone",
+		"narrow network", "change routes", "", "restore store", "evacuate zone", "replace entry",
 	}[k]
 }
 
@@ -186,6 +187,23 @@
 	return faults
 }
 
+// meanForeignEntryGap is the mean time between two entries of targets that another writer replaces.
+const meanForeignEntryGap = 4 * time.Second
+
+// addForeignEntries adds entries of targets that another writer replaces at random times, beside all other faults.
+func addForeignEntries(faults []fault, seed uint64, length time.Duration, targets int) []fault {
+	random := rand.New(rand.NewPCG(seed, 3))
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(meanForeignEntryGap))
+		if at >= length {
+			break
+		}
+		faults = append(faults, fault{kind: replaceEntry, at: at, victim: random.IntN(targets)})
+	}
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
 func (f fault) affectsStoreOrRoutes() bool {
 	switch f.kind {
 	case storeBusy, storeResets, storeSilent, storeLosesAnswers, storeCompacted, storeSlow, narrowNetwork, changeRoutes, storeRestored:
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -323,6 +323,7 @@
 		})
 		faults := drawSchedule(*soakSeed, *soakTime, *soakBalancers, *soakTargets)
 		faults = addRestorations(faults, *soakSeed, *soakTime)
+		faults = addForeignEntries(faults, *soakSeed, *soakTime, *soakTargets)
 		s.injectFaults(addEvacuations(faults, *soakSeed, *soakTime))
 		s.checkEvacuation()
 		close(done)
