--- a/internal/opaque/proof/foreign_entry_test.go
+++ b/internal/opaque/proof/foreign_entry_test.go
@@ -32,6 +32,7 @@
 // TestOpenFlowsOutlastEntriesOfOtherWriters checks the properties of TestOpenFlowsReachTheirTargets while another writer replaces entries
 // of targets. It guards against resets by balancers that start, take the entry for one that isn't there, and so do not know the target.
 func TestOpenFlowsOutlastEntriesOfOtherWriters(t *testing.T) {
+	setHistoryCount(t, frequentFaultHistories)
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, 1, 4)
 		actions := s.actions()
--- a/internal/opaque/proof/moved_route_test.go
+++ b/internal/opaque/proof/moved_route_test.go
@@ -132,6 +132,7 @@
 // TestFlowsFromPortsUsedAgainAreNewFlows checks the same while callers use their ports again, the route moves and targets drain. It guards
 // against new flows that are opened where an earlier one with the same ends was.
 func TestFlowsFromPortsUsedAgainAreNewFlows(t *testing.T) {
+	setHistoryCount(t, frequentFaultHistories)
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, 1, 4)
 		actions := s.movedRouteActions()
@@ -143,6 +144,7 @@
 // TestOpenFlowsOutlastRoutesThatAreAddedAgain checks the same while the route is removed and added again. It guards against resets by a
 // balancer whose table lacks the route, because it does not have the newer one yet.
 func TestOpenFlowsOutlastRoutesThatAreAddedAgain(t *testing.T) {
+	setHistoryCount(t, frequentFaultHistories)
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, 1, 4)
 		runActions(t, s, s.removedRouteActions())
--- a/internal/opaque/proof/seed_test.go
+++ b/internal/opaque/proof/seed_test.go
@@ -18,6 +18,8 @@
 	histories = 3000
 	// manyTargetsHistories is the number for the property with many targets, whose histories take ten times as long.
 	manyTargetsHistories = 400
+	// frequentFaultHistories is the number for properties whose faults take few histories to find.
+	frequentFaultHistories = 1000
 )
 
 // setHistoryCount sets the number of histories for one test.
