Log the key of an unreadable entry that names no agent

Seen in the source, not in a run: applyUnreadable passed over an item of another balancer's state whose key holds no address of an agent, without a line in the log, unlike each other place that refuses an entry. Nothing else changes: such an item was ignored and still is.

Checked: tests of forwarder, the specs 'An odd entry' and 'A soak'.

--- a/internal/opaque/forwarder/catchup.go
+++ b/internal/opaque/forwarder/catchup.go
@@ -190,9 +190,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, item := range items {
-		if agent, err := registry.AgentOf(item.Key); err == nil {
-			f.directory.HandleUnreadable(time.Now(), agent, item.Revision)
+		agent, err := registry.AgentOf(item.Key)
+		if err != nil {
+			f.logRefusedEntry(storeItem(item), err)
+			continue
 		}
+		f.directory.HandleUnreadable(time.Now(), agent, item.Revision)
 	}
 }
 
