Tests of stored entries and of locations are as strict as they were meant to be

The rows on locations checked the place of a new flow in one of seven cases, by a condition on the rows themselves. Each packet that must not follow the location is now compared with the decision of a balancer that knows none.

flow.DecodeLocation had no test of its own: it has one now, also for the form without an opening, which agents of the former version send.

--- a/integration/opaque_deployment_test.go
+++ b/integration/opaque_deployment_test.go
@@ -160,17 +160,20 @@
 	d.store.Put(configurationKey, d.document)
 }
 
-// storedEntry returns the entry of an agent's target in the store, or the zero Entry if there is none that can be decoded.
+// storedEntry returns the entry of an agent's target in the store, or the zero Entry. One that cannot be decoded fails the spec.
 func (d *opaqueDeployment) storedEntry(agent *opaqueProcess) registry.Entry {
+	entry, err := d.decodeStoredEntry(agent)
+	Expect(err).NotTo(HaveOccurred())
+	return entry
+}
+
+// decodeStoredEntry is storedEntry for specs in which another writer replaces entries.
+func (d *opaqueDeployment) decodeStoredEntry(agent *opaqueProcess) (registry.Entry, error) {
 	raw := d.store.Value(registry.Key(hop.IP(agent.ip.As4())))
 	if raw == nil {
-		return registry.Entry{}
+		return registry.Entry{}, nil
 	}
-	entry, err := registry.Decode(raw)
-	if err != nil {
-		return registry.Entry{}
-	}
-	return entry
+	return registry.Decode(raw)
 }
 
 func (d *opaqueDeployment) addBalancer() *opaqueProcess {
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -287,7 +287,7 @@
 func (s *soak) expectEntries() {
 	GinkgoHelper()
 	for _, agent := range s.agents {
-		Eventually(func() registry.Entry { return s.storedEntry(agent) }).WithTimeout(opaqueWaitLimit).
+		Eventually(func() (registry.Entry, error) { return s.decodeStoredEntry(agent) }).WithTimeout(opaqueWaitLimit).
 			Should(And(HaveField("Service", "lines"), HaveField("IsDraining", false), HaveField("HasLeft", false)), agent.ip.String())
 	}
 }
--- a/internal/opaque/flow/flow_test.go
+++ b/internal/opaque/flow/flow_test.go
@@ -22,6 +22,18 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+// Guards against a location that loses the opening of its flow, and against one of an agent that does not know it, which would be refused.
+func TestDecodeLocationReturnsEncodedLocation(t *testing.T) {
+	for _, opening := range []flow.Opening{{}, {IsKnown: true}, {Sequence: 0xfedcba98, IsKnown: true}} {
+		g := NewWithT(t)
+		raw := flow.AppendLocation(nil, id, opening)
+		decodedID, decodedOpening, ok := flow.DecodeLocation(raw)
+		g.Expect([]any{decodedID, decodedOpening, ok}).To(Equal([]any{id, opening, true}))
+		_, _, ok = flow.DecodeLocation(raw[1:])
+		g.Expect(ok).To(BeFalse())
+	}
+}
+
 func TestPacketsOfBothDirectionsHaveSameID(t *testing.T) {
 	g := NewWithT(t)
 	request := flow.Packet{Source: id.Caller, Destination: id.Address}
--- a/internal/opaque/proof/lost_test.go
+++ b/internal/opaque/proof/lost_test.go
@@ -141,8 +141,9 @@
 }
 
 // TestProofsOfALostTargetEndNoHeldFlow checks the properties of TestOpenFlowsReachTheirTargets while bounces are late or doubled, targets
-// close flows, discard old ones and refuse connections. It guards against an agent that takes one of these for the end of a running incarnation and resets
-// its flows. At least one flow in two histories must have ended in this way, so that the property is not met by never ending any.
+// close flows, discard old ones and refuse connections. It guards against an agent that takes one of these for the end of a running
+// incarnation and resets its flows. At least one flow in two histories must have ended in this way, so that the property is not met by
+// never ending any.
 func TestProofsOfALostTargetEndNoHeldFlow(t *testing.T) {
 	histories, ended := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/opaque/steer/locations_test.go
+++ b/internal/opaque/steer/locations_test.go
@@ -32,17 +32,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			s, d := newMachine()
-			addTargets(s, d, "new", 1, 2, 3)
-			addTargets(s, d, "former", 7, 8, 9)
-			s.SetTable(start, tableTo(2, test.services...))
+			newBalancer := func() *steer.Machine {
+				s, d := newMachine()
+				addTargets(s, d, "new", 1, 2, 3)
+				addTargets(s, d, "former", 7, 8, 9)
+				s.SetTable(start, tableTo(2, test.services...))
+				return s
+			}
+			s := newBalancer()
 			s.SetLocation(start, openingPacket().IDFromCaller(), test.opening, agent(8), desired.ServiceKeyOf("former"))
 			p := openingPacket()
 			p.Sequence, p.Retransmissions = test.sequence, test.count
 			opened := s.Decide(start, p)
 			g.Expect(opened.Reason == steer.KnownLocation).To(Equal(test.follows))
-			if test.services[0] == "new" && !test.follows && len(test.services) == 1 {
-				g.Expect(opened.Header.Service).To(BeEquivalentTo(desired.ServiceKeyOf("new")))
+			if !test.follows {
+				unaware := newBalancer().Decide(start, p)
+				g.Expect(opened.Agent).To(Equal(unaware.Agent), "as without a location")
+				g.Expect(opened.Header.Service).To(Equal(unaware.Header.Service))
 			}
 			g.Expect(s.Decide(start, dataPacket()).Reason == steer.KnownLocation).To(Equal(test.keeps))
 		})
