--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -198,3 +198,37 @@
 	t.end()
 	return result{broken: append(t.breaches(usualIdle), quiet.breaches(usualIdle)...), shown: quiet.summary()}, nil
 }
+
+// runFrontCut: what routers send to one balancer is lost for 12 s, as when that machine is cut off from the others. Its clients' last
+// acknowledgements are lost too, and their servers give up after 8 retransmissions of the answers.
+func runFrontCut(d *deployment, isTroubled bool) (result, error) {
+	const (
+		work, pause         = 600 * time.Millisecond, 9500 * time.Millisecond
+		cutAfter, cutLength = 300 * time.Millisecond, 12 * time.Second
+	)
+	if err := startDeployment(d, 3); err != nil {
+		return result{}, err
+	}
+	t := newTraffic(d)
+	t.add(12, 40*time.Millisecond, 500*time.Millisecond)
+	t.add(6, 900*time.Millisecond, 50*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	// Clients that send their requests at the same time and pause for 9.5 s between them.
+	slow := newTraffic(d)
+	slow.spread = 0
+	slow.add(18, work, pause)
+	time.Sleep(cutAfter)
+	if isTroubled {
+		d.cut.Store(&d.balancers[0].ip)
+		d.record.line("front-1 is cut off for %v: what routers send there is lost", cutLength)
+	}
+	time.Sleep(cutLength)
+	d.cut.Store(nil)
+	d.record.line("front-1 is not cut off any more")
+	time.Sleep(6 * time.Second)
+	t.end()
+	slow.end()
+	// Flows through the balancer that was cut off are not judged.
+	t.exempt, slow.exempt = d.balancers[0].ip, d.balancers[0].ip
+	return result{broken: append(t.breaches(usualIdle), slow.breaches(usualIdle)...), shown: t.summary()}, nil
+}
--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -73,7 +73,9 @@
 	document []byte
 	requests atomic.Int64
 	ready    atomic.Pointer[[]netip.AddrPort]
-	cancel   context.CancelFunc
+	// cut is the balancer to which the packets of clients are lost, or nil.
+	cut    atomic.Pointer[netip.Addr]
+	cancel context.CancelFunc
 }
 
 // process is a balancer or an agent.
@@ -313,7 +315,11 @@
 	}
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(src.String() + dst.String()))
-	return inRotation[int(hash.Sum32())%len(inRotation)], true
+	to := inRotation[int(hash.Sum32())%len(inRotation)]
+	if cut := d.cut.Load(); cut != nil && *cut == to.Addr() {
+		return netip.AddrPort{}, false
+	}
+	return to, true
 }
 
 // awaitReady waits until all balancers are in rotation and know all agents.
--- a/review/harness-3/server.go
+++ b/review/harness-3/server.go
@@ -317,6 +317,7 @@
 				}
 			case len(f.unacked) > 0 && now.After(f.retransmitAt):
 				if f.retransmits == maxRetransmits {
+					s.record.line("server %s: gives up the flow of %v after %d retransmissions", s.id, client, maxRetransmits)
 					delete(s.flows, client)
 					continue
 				}
