--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -232,3 +233,57 @@
 	t.exempt, slow.exempt = d.balancers[0].ip, d.balancers[0].ip
 	return result{broken: append(t.breaches(usualIdle), slow.breaches(usualIdle)...), shown: t.summary()}, nil
 }
+
+// runLateHeartbeats: a server has crashed and started again. Its agent is restarted as planned, and two heartbeats of the crashed
+// incarnation, which a partition has delayed, arrive at the new agent process.
+func runLateHeartbeats(d *deployment, isTroubled bool) (result, error) {
+	if err := startDeployment(d, 3); err != nil {
+		return result{}, err
+	}
+	time.Sleep(3 * time.Second)
+	old, agent := d.servers[0], d.agents[0]
+	old.stop()
+	d.record.line("server %s: crashes", old.id)
+	time.Sleep(time.Second)
+	s, err := newServer(d, old.id, old.service, old.zone, agent.ip)
+	if err != nil {
+		return result{}, err
+	}
+	d.servers[0] = s
+	d.record.line("server %s: has started again", s.id)
+	t := newTraffic(d)
+	t.add(24, 40*time.Millisecond, 500*time.Millisecond)
+	t.add(12, 40*time.Millisecond, 4*time.Second)
+	time.Sleep(4 * time.Second)
+	d.record.line("operator: %s gets SIGTERM", agent.name)
+	agent.signal(syscall.SIGTERM)
+	<-agent.exited
+	restarted := time.Now()
+	if err := agent.run(); err != nil {
+		return result{}, err
+	}
+	d.record.line("%s was started again", agent.name)
+	if isTroubled {
+		for n := range int64(2) {
+			var status int
+			for status == 0 {
+				status = put(old.url, map[string]any{
+					"service": old.service, "address": d.at(agent.ip, portApp).String(), "zone": old.zone, "version": "v1",
+					"max_concurrency": serverSlots, "state": "ready", "warmup_left_ms": 0, "sequence": old.sequence + 1 + n, "born": old.born,
+				})
+			}
+			d.record.line("a late heartbeat %d of the crashed incarnation was answered with %d", old.sequence+1+n, status)
+			time.Sleep(1400 * time.Millisecond)
+		}
+	}
+	time.Sleep(12 * time.Second)
+	t.end()
+	inTouch := 0
+	for _, r := range t.resets {
+		if r.heldBy != nil && r.at.Sub(restarted) > 4*time.Second {
+			inTouch++
+		}
+	}
+	d.record.line("%d of the resets of held flows came later than 4 s after the restart", inTouch)
+	return result{broken: t.breaches(usualIdle), shown: t.summary()}, nil
+}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -30,6 +30,7 @@
 	"heartbeat-successor": runHeartbeatSuccessor,
 	"heartbeat-sequence":  runHeartbeatSequence,
 	"restored-quiet":      runRestoredQuiet,
+	"late-heartbeats":     runLateHeartbeats,
 	"front-cut":           runFrontCut,
 }
 
