--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -131,6 +131,11 @@
 				}
 				continue
 			}
+			if len(p.payload) > 0 && f.isOpen && int32(p.seq-f.ack) < 0 {
+				// The server has sent an answer again because its acknowledgement was lost.
+				f.send(&packet{flags: flagAck, seq: f.seq, ack: f.ack})
+				continue
+			}
 			if isExpected(&p) {
 				return nil
 			}
