--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -179,7 +179,7 @@
 // request sends a request on which the server works for a time, and returns an error unless its whole answer arrives in time.
 func (f *clientFlow) request(id string, work, deadline time.Duration) error {
 	f.requests++
-	text := fmt.Sprintf("POST /work/%d HTTP/1.1\r\nHost: desk\r\nGentianswitch-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", work.Milliseconds(), id)
+	text := fmt.Sprintf("POST /busy/%d HTTP/1.1\r\nHost: desk\r\nGentianswitch-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", work.Milliseconds(), id)
 	f.host.d.record.line("client: flow %v sends %s", f.end, id)
 	until := time.Now().Add(deadline)
 	isAcked := false
